Hold an answer's time against its request's size before it cuts the in-flight limits

A request of four units takes about seven times as long as one of one unit, and counted as a late answer: 12% of good answers did. A few of them in the mix shut the gateway-wide limit to 0.2 attempts while the workers stood near idle, and every other request was refused with quota left.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -71,9 +71,10 @@
 constexpr double kUsualOfAim = 0.2;  // usual latency of a class without answers
 constexpr double kTie = 0.02;  // of a worker's cost, by chance; 0: gateways alike all take the first listed
 constexpr double kShunned =
-    10000;                        // cost factor of an ejected or silent worker: only where there is no other
-constexpr double kTried = 30;     // of one that has failed this request
-constexpr Time kBaseTau = 20000;  // ms, memory of a class's usual latency
+    10000;                         // cost factor of an ejected or silent worker: only where there is no other
+constexpr double kTried = 30;      // of one that has failed this request
+constexpr Time kBaseTau = 20000;   // ms, memory of a class's usual latency
+constexpr double kMostSizes = 16;  // units told apart in it; more: seldom seen ones stay guesses
 constexpr Time kOthersKeep =
     2400;  // ms until a worker without reports counts as the average; longer: old news decides
 constexpr Time kOthersSpan = 50;         // ms that a report stands for at least; 0: two at once count as one
@@ -254,8 +255,8 @@
       require(sane(p.rate) && sane(p.burst) && sane(p.ceilingRate) && sane(p.ceilingBurst) &&
                   sane(p.ceilingSlack) && sane(p.price) && sane(p.overWorth) && sane(p.overCost),
               "a plan's figure is negative or not finite");
-    base_.resize(set_.classes.size(), 0);
-    baseAt_.resize(set_.classes.size(), now);
+    base_.resize(set_.classes.size(), {0, now});
+    sizes_.resize(set_.classes.size() * sizes(), {0, now});
     for (int lag = 0; lag < kLags; ++lag)
       misfit_[static_cast<std::size_t>(lag)] = kLagDoubt * std::abs(lag - kMeterLag / slotLength());
     if (set_.askDiscovery) actions_.subscribe();
@@ -356,6 +357,15 @@
   struct Flight {  // one attempt under way
     CustomerId customer = 0;
     unsigned klass = 0;
+    double units = 1;
+  };
+
+  struct Usual {  // latency, fading by time
+    Time mean = 0, at = 0;
+    void note(Time now, Time elapsed) {
+      mean = mean > 0 ? toward(mean, elapsed, std::min(kBaseSpan, now - at), kBaseTau) : elapsed;
+      at = now;
+    }
   };
 
   static std::uint64_t outKey(RequestId id, unsigned attempt) {
@@ -718,7 +728,29 @@
   }
 
   Time usual(unsigned klass) const {
-    return base_[klass] > 0 ? base_[klass] : set_.classes[klass].aim * kUsualOfAim;
+    return base_[klass].mean > 0 ? base_[klass].mean : set_.classes[klass].aim * kUsualOfAim;
+  }
+
+  std::size_t sizes() const { return static_cast<std::size_t>(std::clamp(set_.mostUnits, 1.0, kMostSizes)); }
+
+  std::size_t sizeOf(double units) const {
+    return static_cast<std::size_t>(std::clamp(std::round(units), 1.0, static_cast<double>(sizes())));
+  }
+
+  Usual& ofSize(unsigned klass, std::size_t size) { return sizes_[klass * sizes() + size - 1]; }
+
+  // What a request of so many units usually takes: its units tell its work, and a long one is not a slow one.
+  // A size not answered yet goes by the next smaller one, or else larger one, that has been.
+  Time usual(unsigned klass, double units) {
+    const std::size_t size = sizeOf(units);
+    const auto scaled = [&](std::size_t known) {
+      return ofSize(klass, known).mean * static_cast<double>(size) / static_cast<double>(known);
+    };
+    for (std::size_t known = size; known >= 1; --known)
+      if (ofSize(klass, known).mean > 0) return scaled(known);
+    for (std::size_t known = size + 1; known <= sizes(); ++known)
+      if (ofSize(klass, known).mean > 0) return scaled(known);
+    return usual(klass);
   }
 
   double load(const Worker& w, Time now) const {
@@ -728,7 +760,9 @@
   // Attempts out and no answer for several usual latencies: cut off, paused or dead, whatever the list says.
   // Seen long before the time-outs; may hurt where a single attempt is very long, so it takes two.
   bool silent(const Worker& w, Time now) const {
-    return w.inFlight >= 2 && now - w.heardAt > kSilent * *std::max_element(base_.begin(), base_.end());
+    Time most = 0;
+    for (const Usual& base : base_) most = std::max(most, base.mean);
+    return w.inFlight >= 2 && now - w.heardAt > kSilent * most;
   }
 
   // The most attempts out lately; it fades.
@@ -787,7 +821,7 @@
     if (end.result != Result::timeout && end.result != Result::connectFailed) w.heardAt = now;
     if (!end.report.empty()) noteReport(w, now, end.report);
     const Result result = end.result;
-    steerLimits(w, now, set_.classes[flight.klass].aim, end);
+    steerLimits(w, now, flight, end);
     if (result == Result::full) {
       w.fullFor = std::clamp(2 * w.fullFor, kFullPause, kFullMost);
       w.fullUntil = now + w.fullFor;
@@ -796,13 +830,10 @@
     if (result == Result::cancelled || result == Result::moot || result == Result::spoilt) return;
     if (result == Result::ok || result == Result::error || result == Result::timeout) {
       if (result == Result::ok) {
-        Time& base = base_[flight.klass];
-        base = base > 0
-                   ? toward(base, end.elapsed, std::min(kBaseSpan, now - baseAt_[flight.klass]), kBaseTau)
-                   : end.elapsed;
-        baseAt_[flight.klass] = now;
+        base_[flight.klass].note(now, end.elapsed);
+        ofSize(flight.klass, sizeOf(flight.units)).note(now, end.elapsed);
       }
-      const double ratio = std::min(kSlowMost, end.elapsed / usual(flight.klass));
+      const double ratio = std::min(kSlowMost, end.elapsed / usual(flight.klass, flight.units));
       if (result != Result::error && (result == Result::ok || ratio > slow(w))) noteSlow(w, now, ratio);
     }
     if (result == Result::ok) {
@@ -829,12 +860,16 @@
   // tells nothing of load at all, nor does an attempt without a good answer where the worker
   // has answered later ones at once: it was lost, not waiting. It may hurt where a crowd that overdrives the
   // workers comes right after a peak that they bore, and where one worker's answers alone are late: it then
-  // sends less to all.
-  void steerLimits(Worker& w, Time now, Time aim, const Outcome& end) {
+  // sends less to all. A request of many units is held against its class's smallest: what it takes beyond
+  // that is its own work and no wait. Without it a few large requests in the mix shut both limits for good.
+  void steerLimits(Worker& w, Time now, const Flight& flight, const Outcome& end) {
+    const Time aim = set_.classes[flight.klass].aim;
+    const Time ownWork = std::max(0.0, usual(flight.klass, flight.units) - usual(flight.klass, 1));
+    const Time waited = end.elapsed - ownWork;
     const bool telling = end.result != Result::connectFailed && end.result != Result::moot &&
                          (end.result == Result::ok || w.earlyAt < now - end.elapsed);
-    const bool late = end.result == Result::full || (telling && end.elapsed > kLimitLate * aim);
-    const bool early = end.result == Result::ok && end.elapsed < kLimitEarly * aim;
+    const bool late = end.result == Result::full || (telling && waited > kLimitLate * aim);
+    const bool early = end.result == Result::ok && waited < kLimitEarly * aim;
     if (early) w.earlyAt = now;
     if (late && now - w.limitAt >= kLimitHold) {
       w.limit = std::max(1.0, kLimitCut * std::min(w.limit, w.inFlight + 1.0));
@@ -874,13 +909,13 @@
     Time timeout = 0;
     const bool last = held.attempts + 1 >= std::min(set_.maxAttempts, kMostAttempts);
     if (klass.repeat != Repeat::unsafe && !last && budget_ >= 1) {
-      timeout = std::max(kPatience * usual(held.ask.klass), kPatienceOfAim * klass.aim);
+      timeout = std::max(kPatience * usual(held.ask.klass, held.ask.units), kPatienceOfAim * klass.aim);
       if (timeout >= left) timeout = 0;
     }
     held.sentAt = now;
     held.out = true;
     held.tried.push_back(worker.listed.worker);
-    out_[outKey(held.ask.id, held.attempts)] = Flight{held.ask.customer, held.ask.klass};
+    out_[outKey(held.ask.id, held.attempts)] = Flight{held.ask.customer, held.ask.klass, held.ask.units};
     ++held.attempts;
     ++inFlight_;
     mostOut_ = mostOut(now);
@@ -939,7 +974,7 @@
   std::vector<Worker> workers_;       // in the order of their listing
   std::unordered_map<RequestId, Held> held_;
   std::unordered_map<std::uint64_t, Flight> out_;
-  std::vector<Time> base_, baseAt_;     // usual latency of each class
+  std::vector<Usual> base_, sizes_;     // latency of each class, and of each size in it
   Beat beat_;                           // of the meter
   std::array<double, kLags> misfit_{};  // own use over the metered one, by the lag held against it
   Time noneToldAt_ = kNever;            // the last answer without a reading, before any came
--- a/tests/attempts_test.cpp
+++ b/tests/attempts_test.cpp
@@ -337,5 +337,25 @@
   EXPECT_GT(sent(100), 30);
 }
 
+// What a large request takes beyond a small one is its own work: it says nothing of load.
+TEST(Limit, LargeRequestsAmongSmallOnesDoNotCloseIt) {
+  Settings s = settings();
+  s.mostUnits = 4;
+  s.plans[0].rate = 1000, s.plans[0].burst = 100000;
+  Bench b(s);
+  b.list({member(1), member(2), member(3), member(4)});
+  for (int i = 0; i < 400; ++i) {
+    b.now += 50;
+    const bool large = i % 4 == 3;
+    const RequestId id = b.ask(0, 0, b.last, large ? 4 : 1);
+    ASSERT_TRUE(b.wasSent(id)) << i;
+    b.now += large ? 700 : 100;
+    b.end(id, Result::ok, large ? 700 : 100);
+  }
+  int out = 0;
+  while (out < 100 && b.wasSent(b.ask(0, 0, b.last))) ++out;
+  EXPECT_GE(out, 8);  // two for each worker
+}
+
 }  // namespace
 }  // namespace irisring::test
