Hold an open cap by each gateway's even part of it, not by metered peaks

Each gateway let in whenever a Poisson guess at the others, from a peak one to three seconds old, left the try more likely under the cap than not. A cap is two here, and two or three gateways took it at once. The guess never refused anything that the even part lets in, so it goes.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -41,7 +41,6 @@
 constexpr double kUnitsKeep = 8;  // requests behind the usual size
 constexpr double kNewReading =
     0.3;  // metered periods after which another value is a new reading, until the meter's beat is known
-constexpr Time kOpenTau = 1000;         // ms, memory of own attempts out
 constexpr Time kShareTau = 10000;       // ms, memory of the share; longer: slow after traffic moves
 constexpr double kLogisticScale = 1.7;  // of a normal spread in the logistic one that stands for it
 constexpr double kPaceMost =
@@ -53,10 +52,6 @@
 constexpr double kPressedMost = 0.8;  // higher: nothing is let in on a doubtful estimate
 constexpr double kDebt =
     0.5;  // metered periods of the rate that the estimate may owe; 0: noise only ever adds room
-// A metered peak of attempts out stands about kPeakSpread deviations and kPeakStep over their mean.
-constexpr double kPeakSpread = 1.2;  // higher: caps go past
-constexpr double kPeakStep = 0.5;
-constexpr double kPeakNews = 0.3;  // weight of a new peak; higher: one crowd closes a cap
 // Guards.
 constexpr double kColdMargin = 0.8;  // of a cold worker's told share; above 1 eats into the rule's multiple
 constexpr Time kRateTau = 4000;  // ms, memory of the rate of good answers that cold workers are held against
@@ -185,7 +180,6 @@
   double oldUnits = 0, oldTime = 0;  // the same over a longer memory
   double ownUse = 0, allUse = 0;     // decayed sums behind the share
   unsigned open = 0;                 // attempts out
-  double meanOpen = 0, allOpen = 0;  // own on average; all gateways' by their metered peaks
   std::array<float, kSlots> sent{};  // own units by slot
   std::array<float, kSlots> taken{};  // what the others are held to have taken from the estimate
   std::array<float, kSlots> in{};     // admit fraction in force
@@ -494,9 +488,7 @@
     c.ownUse *= keepShare, c.allUse *= keepShare;
     if (now - c.readingAt > 2 * set_.meterPeriod) {  // a gateway that lets nothing in is told nothing
       c.fraction = std::min(1.0, c.fraction + span / std::max(kClimb, kClimbGaps * c.readingGap));
-      c.allOpen = toward(c.allOpen, 0, span, kForget);
     }
-    c.meanOpen = toward(c.meanOpen, c.open, span, kOpenTau);
     c.credit = std::min(kPaceMost * c.units, c.credit + plan.rate * share(c) * dt);
     touchSlot(c, now, taken);
     c.at = std::max(c.at, now);
@@ -511,11 +503,7 @@
     const double want = std::min(units, plan.burst);
     c.units = toward(c.units, units, 1, kUnitsKeep);
     if (plan.rate > 0 && c.tokens < want) return 1000 * (want - c.tokens) / plan.rate;
-    if (plan.openLimit > 0 && c.open >= plan.openLimit) return usual(ask.klass);
-    const double others = plan.rate > 0 ? c.meanOpen * (1 - share(c)) / share(c) : c.allOpen * (1 - share(c));
-    const double chance = plan.openLimit > 0 ? chanceUnder(plan.openLimit - c.open, others) : 1;
-    const bool crowded = chance * (1 + plan.overCost) < plan.overCost + pressed_;
-    if (crowded) return usual(ask.klass);
+    if (plan.openLimit > 0 && c.open >= openPart(c, plan)) return usual(ask.klass);
     noteDemand(c, units, 0);
     const bool empty = plan.rate > 0 && isEmpty(c, want);
     c.in[at(c.slot)] = static_cast<float>(empty ? c.fraction : 1);
@@ -538,11 +526,13 @@
     return c.store < want + (std::log(price) / kLogisticScale + kCaution) * doubt;
   }
 
-  // Chance that the other gateways, with `mean` attempts out as a rule, have fewer than `room` out now.
-  static double chanceUnder(unsigned room, double mean) {
-    double term = std::exp(-mean), sum = 0;
-    for (unsigned i = 0; i < room && i < 64; ++i) sum += term, term *= mean / (i + 1);
-    return sum;
+  // The attempts of a cap that this gateway may have out, whatever the others do. A metered peak is seconds
+  // old and a cap of a few is used up within ms, so no estimate of what they have out says which try is still
+  // under it: one sent on beyond costs more than one refused, which comes back at once. Where gateways
+  // outnumber the cap each still has one, so that a customer is never shut out at one of them: a cap may then
+  // be passed by the difference.
+  static unsigned openPart(const Customer& c, const PlanSettings& plan) {
+    return std::max(1u, plan.openLimit / c.setSize);
   }
 
   void debit(Customer& c, double units) {
@@ -607,12 +597,7 @@
     c.readingAt = now;
     fill(c, now);
     const PlanSettings& plan = set_.plans[c.plan];
-    if (plan.rate <= 0) {
-      const double over = std::max(0.0, percent / 100.0 * plan.openLimit - kPeakStep);
-      const double root = std::sqrt(kPeakSpread * kPeakSpread / 4 + over) - kPeakSpread / 2;
-      c.allOpen += kPeakNews * (root * root - c.allOpen);
-      return;
-    }
+    if (plan.rate <= 0) return;
     const long out = std::lround((beat_.known() ? beat_.before(now) : now) / slotLength());
     const double metered = percent / 100.0 * plan.rate * set_.meterPeriod / 1000;
     if (beat_.known()) learnLag(c, out, metered);
