Eject a worker on more failures in a row than chance brings to all of them

Failures that a worker's next answer disproves now set how many in a row tell of a dead one. Without them it is two, as before; one that is dead answers nothing, so its own failures do not raise the count.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -80,7 +80,9 @@
 constexpr double kSilent = 3;  // usual latencies without an answer, two or more out; lower: bad luck ejects
 constexpr double kZoneWeight = 15;     // cost factor per unit of cross-zone price; higher: one zone fills up
 constexpr unsigned kFailsToEject = 2;  // failures in a row; 1: a single lost packet empties the pool
-constexpr Time kEjectFirst = 1000;     // ms of the first ejection; doubles up to kEjectMost
+constexpr double kChanceToEject = 1e-4;  // and as many as chance so rarely brings; higher: sound ones go
+constexpr double kStrayNews = 0.01;      // weight of an attempt in the share of failures that mean nothing
+constexpr Time kEjectFirst = 1000;       // ms of the first ejection; doubles up to kEjectMost
 constexpr Time kEjectMost = 8000;
 constexpr double kLimitFirst =
     12;  // in-flight a worker starts with, over all gateways; higher: a start overdrives
@@ -831,17 +833,23 @@
     }
     if (result == Result::ok) {
       noteGood(w, now);
-      w.fails = 0;
+      for (; w.fails > 0; --w.fails) noteStray(1);
+      noteStray(0);
       w.fullFor = 0;
       w.ejectFor = 0;
       w.ejectedUntil = 0;
-    } else if (++w.fails >= kFailsToEject) {
+    } else if (++w.fails >= kFailsToEject && std::pow(stray_, w.fails) <= kChanceToEject) {
       w.ejectFor = std::clamp(2 * w.ejectFor, kEjectFirst, kEjectMost);
       w.ejectedUntil = now + w.ejectFor;
       log(now, "worker ejected: attempts in a row failed");
     }
   }
 
+  // The share of attempts that fail at workers that go on answering: where connections break by chance, a few
+  // in a row come about at every worker, and ejecting them crowds the others. One that is dead answers
+  // nothing any more, so its failures never count here.
+  void noteStray(double failed) { stray_ += kStrayNews * (failed - stray_); }
+
   // Two in-flight limits, raised and cut by how an answer's time stands to the class's aim; they keep the
   // queues at the workers short enough that what is sent is still worth answering, whatever made them long.
   // The worker's own holds where a gateway has several attempts at a worker; that of the whole gateway goes
@@ -983,6 +991,7 @@
   double warmRate_ = 0;          // good answers of warm workers a ms
   Time warmAt_ = 0;
   unsigned warmWorkers_ = 0;
+  double stray_ = 0;  // share of attempts that fail at workers that are sound
   Time loggedAt_ = -kLogEvery;
 };
 
--- a/tests/attempts_test.cpp
+++ b/tests/attempts_test.cpp
@@ -145,6 +145,37 @@
 }
 
 // Least-loaded choice herds onto workers that turn work away at once: they look idle.
+// Connections that break by chance, at all workers alike, leave all in; one that is dead goes all the same.
+TEST(Health, FailuresByChanceEjectNobodyAndADeadWorkerStillGoes) {
+  Settings s = settings();
+  s.plans[0].rate = 1000, s.plans[0].burst = 100000;
+  Bench b(s);
+  b.list({member(1), member(2), member(3), member(4)});
+  std::mt19937 chance(1);
+  std::size_t linesBefore = 0;
+  for (int i = 0; i < 4000; ++i) {
+    if (i == 1000) linesBefore = b.recorder.lines.size();  // by then it is known how many break
+    b.now += 20;
+    const RequestId id = b.ask(0, 0, b.last);
+    while (b.wasSent(id) && b.recorder.finals[id] == 0) {
+      if (chance() % 8 != 0) {
+        b.end(id, Result::ok, 50);
+        break;
+      }
+      b.end(id, Result::reset, 1);
+    }
+  }
+  EXPECT_LE(b.recorder.lines.size() - linesBefore, 1u);
+  int toDead = 0;
+  for (int i = 0; i < 100; ++i) {
+    b.now += 10;
+    const RequestId id = b.ask(0, 0, b.last);
+    for (; b.lastWorker() == 1; ++toDead) b.end(id, Result::connectFailed, 1);
+    b.end(id, Result::ok, 50);
+  }
+  EXPECT_LE(toDead, 10);
+}
+
 TEST(Health, FullWorkersAreNotHerdedOn) {
   Bench b;
   std::vector<Member> all;
