--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -880,13 +880,21 @@
     }
     const double span = std::min(now - limitAt_, kLimitHold) / 1000;
     limitAt_ = now;
-    if (late)
+    if (late && (end.result != Result::full || mostlyFull(now)))
       limit_ = std::max(kLimitLeast,
                         std::min(limit_, kPoolSpare * (mostOut(now) + 1)) * std::exp(-kPoolCut * span));
     else if (early && inFlight_ + 1 >= kLimitUsed * limit_)
       limit_ *= std::exp(kPoolRise * span);
   }
 
+  // Whether most workers turn attempts away: else those that do say nothing of the room at the others.
+  bool mostlyFull(Time now) const {
+    std::size_t ready = 0, full = 0;
+    for (const Worker& w : workers_)
+      if (w.listed.phase == Phase::ready) ++ready, full += w.fullUntil > now;
+    return 2 * full >= ready;
+  }
+
   void noteReport(Worker& w, Time now, const std::vector<double>& report) {
     const std::size_t n = std::min(report.size(), set_.reportFields.size());
     for (std::size_t i = 0; i < n; ++i) {
--- a/tests/attempts_test.cpp
+++ b/tests/attempts_test.cpp
@@ -368,6 +368,26 @@
   EXPECT_GT(sent(100), 30);
 }
 
+// Workers that turn attempts away while most others answer at once leave the room at the others.
+TEST(Limit, AFewFullWorkersDoNotCloseIt) {
+  Settings s = settings();
+  s.plans[0].rate = 1000, s.plans[0].burst = 100000;
+  Bench b(s);
+  std::vector<Member> fleet;
+  for (WorkerId w = 1; w <= 9; ++w) fleet.push_back(member(w));
+  b.list(fleet);
+  for (int i = 0; i < 1000; ++i) {
+    b.now += 20;
+    const RequestId id = b.ask(0, 0, b.last);
+    ASSERT_TRUE(b.wasSent(id)) << i;
+    while (b.lastWorker() <= 3 && !b.wasRefused(id)) b.end(id, Result::full, 25);
+    if (!b.wasRefused(id)) b.end(id, Result::ok, 300);  // neither late nor early
+  }
+  int out = 0;
+  while (out < 100 && b.wasSent(b.ask(0, 0, b.last))) ++out;
+  EXPECT_GE(out, 12);
+}
+
 // What a large request takes beyond a small one is its own work: it says nothing of load.
 TEST(Limit, LargeRequestsAmongSmallOnesDoNotCloseIt) {
   Settings s = settings();
