Give operators a second address with readiness and a front drain that comes back

The descriptors for the second address are kept back from the clients' share only where one is configured. Tests: management_test.cpp, among them a crowd of mute callers and a whole drain and return on a gatekeeper.

--- a/src/node/client_server.cpp
+++ b/src/node/client_server.cpp
@@ -18,7 +18,7 @@
 constexpr std::size_t kMostAhead = 4 * 1024;  // read of what follows a request that is held
 constexpr std::size_t kMostMarks = 16;        // of when that came
 constexpr auto kAcceptPause = 50ms;           // after an accept that failed for want of descriptors
-constexpr auto kHalfSentAtStop = 500ms;       // what is left to a half-sent request once nobody accepts
+constexpr auto kHalfSentAtStop = 500ms;       // what is left to a half-sent request at the end of a drain
 constexpr irisring::Time kFullRetryAfter = 1000;
 
 std::string seconds(irisring::Time ms) {
@@ -80,7 +80,7 @@
     http::response<http::empty_body> head(answer.status, 11);
     if (!answer.contentType.empty()) head.set(http::field::content_type, answer.contentType);
     if (answer.retryAfter > 0) head.set(http::field::retry_after, seconds(answer.retryAfter));
-    last_ = last_ || server_.draining_;
+    last_ = last_ || server_.draining_ || server_.away_;
     head.keep_alive(!last_);
     head.content_length(answer.body.size());
     state_ = State::answering;
@@ -108,7 +108,7 @@
     bytes_.shrinkTo(0);
   }
 
-  // Nobody accepts any more: ends a connection without a request, unless one has come unread.
+  // The end of a drain: ends a connection without a request, unless one has come unread.
   void finishUp() {
     Error error;
     if (state_ == State::reading && !begun() && socket_.available(error) == 0) return close();
@@ -260,7 +260,7 @@
 
   void sayReady(http::verb method) {
     if (method != http::verb::get) return reject({http::status::method_not_allowed, "only GET"});
-    const bool ready = server_.holder_.ready() && !server_.draining_;
+    const bool ready = server_.holder_.ready() && !server_.draining_ && !server_.away_;
     say(ready ? http::status::ok : http::status::service_unavailable, ready ? "ready" : "not ready");
   }
 
@@ -336,7 +336,13 @@
 
 ClientServer::ClientServer(asio::io_context& io, const Config& config, const Limits& limits, Budget& budget,
                            Holder& holder)
-    : config_(config), limits_(limits), budget_(budget), holder_(holder), acceptor_(io), pause_(io) {}
+    : config_(config),
+      limits_(limits),
+      budget_(budget),
+      holder_(holder),
+      acceptor_(io),
+      pause_(io),
+      sweep_(io) {}
 
 ClientServer::~ClientServer() {
   for (const auto& list : connections_)
@@ -427,11 +433,28 @@
   Error ignored;
   acceptor_.close(ignored);
   pause_.cancel();
+  finishUpAll();
+}
+
+void ClientServer::finishUpAll() {
   std::vector<std::shared_ptr<Connection>> all;
   for (const auto& list : connections_) all.insert(all.end(), list.begin(), list.end());
   for (const auto& connection : all) connection->finishUp();
 }
 
+void ClientServer::sendAway() {
+  if (std::exchange(away_, true)) return;
+  sweep_.expires_after(limits_.awayAfter);
+  sweep_.async_wait([this](const Error& error) {
+    if (!error && away_) finishUpAll();
+  });
+}
+
+void ClientServer::takeAgain() {
+  away_ = false;
+  sweep_.cancel();
+}
+
 void ClientServer::whenEmpty(std::function<void()> done) {
   done_ = std::move(done);
   endIfEmpty();
--- a/src/node/client_server.hpp
+++ b/src/node/client_server.hpp
@@ -60,6 +60,8 @@
     std::chrono::milliseconds writeWithin{10000};
     std::chrono::milliseconds lingerFor{400};
     std::size_t lingerBytes = 64 * 1024;
+    // From the front's drain on new connections come until it has asked for readiness and 0.2 s more.
+    std::chrono::milliseconds awayAfter{1000};
   };
 
   ClientServer(boost::asio::io_context& io, const Config& config, const Limits& limits, Budget& budget,
@@ -71,6 +73,12 @@
   void start();  // throws std::runtime_error if it cannot listen
   boost::asio::ip::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
 
+  // The front's drain, a state that comes back: readiness is denied, every answer ends its connection, and
+  // what then still stands idle is closed. Whoever comes all the same is served.
+  void sendAway();
+  void takeAgain();
+  bool sendsAway() const { return away_; }
+
   // From here on every answer ends its connection.
   void beginDrain() { draining_ = true; }
   // Takes what the machine has accepted already, then no more; connections without a request are closed.
@@ -95,18 +103,20 @@
   void remove(Standing standing, Connections::iterator connection);
   void dropOldest();
   void endIfEmpty();
+  void finishUpAll();
 
   const Config& config_;
   const Limits limits_;
   Budget& budget_;
   Holder& holder_;
   boost::asio::ip::tcp::acceptor acceptor_;
-  boost::asio::steady_timer pause_;
+  boost::asio::steady_timer pause_, sweep_;
   std::array<Connections, 3> connections_;               // by standing; the longest so first
   std::optional<boost::asio::ip::tcp::socket> waiting_;  // accepted, and no room yet
   std::function<void()> done_;
   bool accepting_ = false;  // an accept is pending
   bool draining_ = false;
+  bool away_ = false;
 };
 
 }  // namespace burlwind
--- a/src/node/config.cpp
+++ b/src/node/config.cpp
@@ -79,6 +79,7 @@
   out.name = textOf(file, "name");
   out.listen = parseEndpoint(textOf(file, "listen"));
   out.discovery = parseEndpoint(textOf(file, "discovery"));
+  if (file.contains("management")) out.management = parseEndpoint(textOf(file, "management"));
   if (file.contains("seed")) out.seed = parseSeed(textOf(file, "seed"));
   out.sockets = readLimit(file, "sockets", kLeastSockets, out.sockets);
   out.memoryMb = readLimit(file, "memory_mb", kLeastMemoryMb, out.memoryMb);
@@ -103,6 +104,7 @@
   json file = parseFile(std::string(std::istreambuf_iterator<char>(in), {}));
   fromEnvironment("BALANCER_NAME", "name", file);
   fromEnvironment("BALANCER_LISTEN", "listen", file);
+  fromEnvironment("BALANCER_MANAGEMENT", "management", file);
   return file;
 }
 
--- a/src/node/config.hpp
+++ b/src/node/config.hpp
@@ -3,6 +3,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -14,6 +15,7 @@
   std::string name;
   boost::asio::ip::tcp::endpoint listen;
   boost::asio::ip::tcp::endpoint discovery;
+  std::optional<boost::asio::ip::tcp::endpoint> management;  // for operators only
   std::uint64_t seed = 0;
   unsigned sockets = 1024;  // file descriptors that the process may hold
   unsigned memoryMb = 192;
--- a/src/node/gatekeeper.cpp
+++ b/src/node/gatekeeper.cpp
@@ -20,7 +20,8 @@
 constexpr Time kWayBack =
     10;  // ms kept for the way back; measured within the program: 0.4 at the 99th percentile
 constexpr unsigned kSparedSockets = 24;  // descriptors for the listener, discovery, timers, standard streams
-constexpr unsigned kOwnMegabytes = 12;   // the program, the module's customers, connections without messages
+constexpr std::size_t kManagementSockets = ManagementServer::Limits{}.connections + 1;  // kept back
+constexpr unsigned kOwnMegabytes = 12;  // the program, the module's customers, connections without messages
 constexpr unsigned kLeastMegabytes = 4;
 constexpr double kIdleShare = 0.8;         // of the time that a worker keeps an idle connection
 constexpr auto kAcceptAfterTerm = 500ms;   // connections go on coming for up to 400 ms after SIGTERM
@@ -36,7 +37,8 @@
 
 // All others: clients keep many connections without a request, and each that must make room costs one later.
 std::size_t clientsSockets(const Config& config) {
-  const std::size_t taken = workersSockets(config) + kSparedSockets;
+  const std::size_t taken =
+      workersSockets(config) + kSparedSockets + (config.management ? kManagementSockets : 0);
   return std::max<std::size_t>(8, config.sockets - std::min<std::size_t>(config.sockets, taken));
 }
 
@@ -106,6 +108,8 @@
 
 void Gatekeeper::start() {
   server_.start();
+  if (config_.management)
+    management_.emplace(io_, *config_.management, ManagementServer::Limits{}, static_cast<Operator&>(*this));
   discovery_->start();
 }
 
@@ -126,6 +130,7 @@
 }
 
 void Gatekeeper::drain(std::function<void()> done) {
+  ending_ = true;
   server_.beginDrain();
   drain_.expires_after(kAcceptAfterTerm);
   drain_.async_wait([this, done = std::move(done)](const Error& error) {
@@ -139,6 +144,20 @@
   });
 }
 
+// --- From the operators ----------------------------------------------------------------------------------
+
+bool Gatekeeper::takesClients() const { return ready_ && !ending_ && !server_.sendsAway(); }
+
+void Gatekeeper::sendAway() {
+  server_.sendAway();
+  log("front drain: clients are sent away");
+}
+
+void Gatekeeper::takeAgain() {
+  server_.takeAgain();
+  log("front drain is over: clients are taken again");
+}
+
 // --- From the clients ------------------------------------------------------------------------------------
 
 void Gatekeeper::take(RequestId id, const Call& call, ClientMessage&& message,
--- a/src/node/gatekeeper.hpp
+++ b/src/node/gatekeeper.hpp
@@ -13,6 +13,7 @@
 #include "node/client_server.hpp"
 #include "node/config.hpp"
 #include "node/discovery.hpp"
+#include "node/management.hpp"
 #include "node/worker_pool.hpp"
 
 namespace burlwind {
@@ -32,7 +33,7 @@
       std::chrono::duration<double, std::milli>(std::chrono::system_clock::now().time_since_epoch()).count();
 };
 
-class Gatekeeper : private irisring::Actions, private Holder {
+class Gatekeeper : private irisring::Actions, private Holder, private Operator {
  public:
   Gatekeeper(boost::asio::io_context& io, const Config& config);
   ~Gatekeeper() override;
@@ -44,6 +45,7 @@
   void drain(std::function<void()> done);
 
   boost::asio::ip::tcp::endpoint address() const { return server_.address(); }
+  boost::asio::ip::tcp::endpoint management() const { return management_->address(); }
   bool ready() const override { return ready_; }
   std::size_t held() const { return held_.size(); }
   std::size_t listed() const { return listed_.size(); }  // workers that may be sent to
@@ -76,6 +78,11 @@
   void subscribe() override {}  // the watch is always open
   void log(const std::string& line) override;
 
+  // Operator
+  bool takesClients() const override;
+  void sendAway() override;
+  void takeAgain() override;
+
   void watch(const boost::asio::ip::tcp::endpoint& agent, long long from);
   void told(const Roster& roster, irisring::ListKind kind);
   irisring::Member memberOf(const Instance& instance) const;
@@ -98,8 +105,10 @@
   irisring::RequestId lastId_ = 0;
   irisring::Gateway gateway_;
   std::unique_ptr<Discovery> discovery_;
+  std::optional<ManagementServer> management_;
   boost::asio::steady_timer drain_;
-  bool ready_ = false;
+  bool ready_ = false;   // has had a list with a worker in it
+  bool ending_ = false;  // since SIGTERM
 };
 
 }  // namespace burlwind
--- /dev/null
+++ b/tests/management_test.cpp
@@ -0,0 +1,143 @@
+// The operators' second address, alone and on a whole gatekeeper.
+#include "loopback.hpp"
+
+namespace burlwind::test {
+namespace {
+
+using namespace std::chrono_literals;
+
+std::string call(const std::string& method, const std::string& path) {
+  return method + " " + path + " HTTP/1.1\r\nHost: ops\r\n\r\n";
+}
+
+struct Switch : Operator {
+  bool takesClients() const override { return !away; }
+  void sendAway() override { away = true; }
+  void takeAgain() override { away = false; }
+  bool away = false;
+};
+
+class Management : public Loopback {
+ protected:
+  void open(const ManagementServer::Limits& limits = {}) {
+    server.emplace(io, tcp::endpoint(asio::ip::address_v4::loopback(), 0), limits, target);
+  }
+  std::string answerTo(const std::string& text) {
+    const auto caller = dial(server->address());
+    caller->send(text);
+    until([&] { return caller->ended; }, "the call's end");
+    return caller->got.substr(0, 12);
+  }
+  Switch target;
+  std::optional<ManagementServer> server;
+};
+
+TEST_F(Management, CarriesCallsOutAndTheyMayBeRepeated) {
+  open();
+  EXPECT_EQ(answerTo(call("GET", "/v1/readyz")), "HTTP/1.1 200");
+  for (int i = 0; i < 2; ++i) {
+    EXPECT_EQ(answerTo(call("PUT", "/v1/gatekeeper/drain")), "HTTP/1.1 200");
+    EXPECT_TRUE(target.away);
+  }
+  EXPECT_EQ(answerTo(call("GET", "/v1/readyz")), "HTTP/1.1 503");
+  EXPECT_EQ(answerTo(call("PUT", "/v1/gatekeeper/activate")), "HTTP/1.1 200");
+  EXPECT_FALSE(target.away);
+}
+
+TEST_F(Management, SaysWhatIsWrongWithACall) {
+  open();
+  EXPECT_EQ(answerTo(call("GET", "/v1/nothing")), "HTTP/1.1 404");
+  EXPECT_EQ(answerTo(call("GET", "/v1/gatekeeper/drain")), "HTTP/1.1 405");
+  EXPECT_EQ(answerTo(call("PUT", "/v1/readyz")), "HTTP/1.1 405");
+  EXPECT_EQ(answerTo("what is this\r\n\r\n"), "HTTP/1.1 400");
+  EXPECT_EQ(answerTo("GET /v1/readyz HTTP/1.1\r\nBig: " + std::string(9000, 'x') + "\r\n\r\n"),
+            "HTTP/1.1 431");
+  EXPECT_FALSE(target.away);
+}
+
+TEST_F(Management, ACallIsCarriedOutOnlyOnceItIsWhole) {
+  open();
+  const auto caller = dial(server->address());
+  caller->send("PUT /v1/gatekeeper/drain HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+  until([&] { return caller->has("HTTP/1.1 100"); }, "the word to go on");
+  EXPECT_FALSE(target.away);
+  caller->send("{}");
+  until([&] { return caller->has("HTTP/1.1 200"); }, "the answer");
+  EXPECT_TRUE(target.away);
+}
+
+TEST_F(Management, MuteCallersAreClosedInTime) {
+  ManagementServer::Limits limits;
+  limits.wholeWithin = 50ms;
+  open(limits);
+  const auto mute = dial(server->address()), half = dial(server->address());
+  half->send("PUT /v1/gatekeeper/dr");
+  until([&] { return mute->ended && half->ended; }, "their ends");
+  EXPECT_EQ(server->connections(), 0u);
+  EXPECT_FALSE(target.away);
+}
+
+TEST_F(Management, ACallGetsThroughACrowdOfMuteCallers) {
+  ManagementServer::Limits limits;
+  limits.connections = 3;
+  limits.wholeWithin = 60000ms;
+  open(limits);
+  std::vector<PeerPtr> mute;
+  for (int i = 0; i < 20; ++i) mute.push_back(dial(server->address()));
+  EXPECT_EQ(answerTo(call("GET", "/v1/readyz")), "HTTP/1.1 200");
+  EXPECT_LE(server->connections(), 3u);
+}
+
+class Operated : public Loopback {
+ protected:
+  void open() {
+    json file = configJson(discovery.text(), json::array({entry("s-1", worker.text())}));
+    file["management"] = "127.0.0.1:0";
+    node.emplace(io, parseConfig(file.dump()));
+    node->start();
+  }
+  std::string operate(const std::string& method, const std::string& path) {
+    const auto caller = dial(node->management());
+    caller->send(call(method, path));
+    until([&] { return caller->ended; }, "the call's end");
+    return caller->got;
+  }
+  std::string readiness() {
+    const auto front = dial(node->address());
+    front->send("GET /health/ready HTTP/1.1\r\nHost: b\r\n\r\n");
+    until([&] { return front->has("\r\n\r\n"); }, "readiness");
+    return front->got.substr(0, 12);
+  }
+
+  Listener discovery{io}, worker{io};
+  std::optional<Gatekeeper> node;
+};
+
+// The front's drain sends clients away without an end of the program, and comes back.
+TEST_F(Operated, AFrontDrainClosesIdleConnectionsServesWhatIsHeldAndComesBack) {
+  open();
+  const auto idle = dial(node->address()), busy = dial(node->address());
+  busy->send(Ask().text());
+  until([&] { return worker.count("\r\n\r\n") == 1; }, "a request at the worker");
+  EXPECT_EQ(readiness(), "HTTP/1.1 200");
+  EXPECT_TRUE(operate("PUT", "/v1/gatekeeper/drain").starts_with("HTTP/1.1 200"));
+  EXPECT_EQ(readiness(), "HTTP/1.1 503");
+  EXPECT_TRUE(operate("GET", "/v1/readyz").starts_with("HTTP/1.1 503"));
+  until([&] { return idle->ended; }, "the idle connection's end");
+  EXPECT_FALSE(busy->ended);
+  worker.peers[0]->send(reply("200 OK", "served"));
+  until([&] { return busy->ended; }, "the busy connection's end");
+  EXPECT_TRUE(busy->has("served"));
+  EXPECT_TRUE(operate("PUT", "/v1/gatekeeper/activate").starts_with("HTTP/1.1 200"));
+  EXPECT_EQ(readiness(), "HTTP/1.1 200");
+  const auto client = dial(node->address());
+  for (int i = 2; i <= 3; ++i) {  // on one connection again
+    client->send(Ask().text());
+    until([&] { return worker.count("\r\n\r\n") == static_cast<std::size_t>(i); }, "a request");
+    worker.peers[0]->send(reply("200 OK", "again " + std::to_string(i)));
+    until([&] { return client->has("again " + std::to_string(i)); }, "its answer");
+  }
+}
+
+}  // namespace
+}  // namespace burlwind::test
