Tell the operators' figures, counted where each outcome becomes final

Answers are counted when written whole, attempts when the system has their last byte; active is read off the connections, pool_size and pool_ejected off the module. Test: one request of each fate against the figures as told; the pool's view in the module's own test.

--- a/include/irisring/decide.hpp
+++ b/include/irisring/decide.hpp
@@ -101,6 +101,11 @@
   std::vector<double> report;
 };
 
+// The workers that the list names, and how many of them are avoided now.
+struct PoolView {
+  std::size_t listed = 0, avoided = 0;
+};
+
 // What the module asks of its host.
 class Actions {
  public:
@@ -127,6 +132,7 @@
   void clientLeft(Time now, RequestId id);
   void timer(Time now, std::uint64_t tag);
 
+  PoolView pool(Time now) const;
   std::size_t customersHeld() const;
   std::size_t requestsHeld() const;
 
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -346,6 +346,15 @@
     std::erase_if(workers_, [](const Worker& w) { return w.listed.phase == Phase::gone && w.inFlight == 0; });
   }
 
+  PoolView pool(Time now) const {
+    PoolView out;
+    for (const Worker& w : workers_) {
+      if (w.listed.phase == Phase::gone) continue;
+      ++out.listed;
+      out.avoided += avoided(w, now);
+    }
+    return out;
+  }
   std::size_t customersHeld() const { return index_.size(); }
   std::size_t requestsHeld() const { return held_.size(); }
 
@@ -760,6 +769,11 @@
     return w.inFlight >= 2 && now - w.heardAt > kSilent * most;
   }
 
+  // Sent to only where there is no other: ejected, on trial after that, or silent.
+  bool avoided(const Worker& w, Time now) const {
+    return w.ejectedUntil > now || (w.ejectFor > 0 && w.inFlight > 0) || silent(w, now);
+  }
+
   // The most attempts out lately; it fades.
   double mostOut(Time now) const {
     return std::max<double>(inFlight_, toward(mostOut_, 0, now - mostOutAt_, kPoolMemory));
@@ -802,7 +816,7 @@
       double cost = slow(w) * (load(w, now) + 1) * warmth(w, now);
       if (w.listed.zone != set_.zone) cost *= 1 + kZoneWeight * set_.crossZonePrice;
       cost *= 1 + kTie * random_.next();
-      if (w.ejectedUntil > now || (w.ejectFor > 0 && w.inFlight > 0) || silent(w, now)) cost *= kShunned;
+      if (avoided(w, now)) cost *= kShunned;
       if (std::find(held.tried.begin(), held.tried.end(), w.listed.worker) != held.tried.end())
         cost *= kTried;
       if (!best || cost < least) best = &w, least = cost;
@@ -1015,6 +1029,7 @@
 void Gateway::outcome(Time now, const Outcome& outcome) { core_->outcome(now, outcome); }
 void Gateway::clientLeft(Time now, RequestId id) { core_->clientLeft(now, id); }
 void Gateway::timer(Time now, std::uint64_t tag) { core_->timer(now, tag); }
+PoolView Gateway::pool(Time now) const { return core_->pool(now); }
 std::size_t Gateway::customersHeld() const { return core_->customersHeld(); }
 std::size_t Gateway::requestsHeld() const { return core_->requestsHeld(); }
 
--- a/src/node/client_server.cpp
+++ b/src/node/client_server.cpp
@@ -84,6 +84,7 @@
     head.keep_alive(!last_);
     head.content_length(answer.body.size());
     state_ = State::answering;
+    status_ = answer.status;
     append(out_, head);
     body_ = std::move(answer.body);
     bytes_.shrinkTo(in_.capacity() + body_.size());
@@ -142,6 +143,7 @@
 
   void expire() {
     if (state_ == State::reading && begun()) return reject({http::status::request_timeout, "too slow"});
+    if (state_ == State::answering && call_) server_.figures_.broken(call_->klass);
     if (state_ != State::held) close();
   }
 
@@ -295,6 +297,7 @@
   }
 
   void written() {
+    if (call_) server_.figures_.ended(call_->klass, status_);
     body_ = {};
     if (last_) return linger();
     listen();
@@ -323,6 +326,7 @@
   std::optional<Call> call_;                                       // once its head is read
   std::string out_, writing_, body_;
   State state_ = State::reading;
+  http::status status_ = http::status::ok;  // of the answer under way
   Standing standing_ = unfinished;
   Connections::iterator at_;
   Arrivals arrivals_;
@@ -335,10 +339,11 @@
 };
 
 ClientServer::ClientServer(asio::io_context& io, const Config& config, const Limits& limits, Budget& budget,
-                           Holder& holder)
+                           Figures& figures, Holder& holder)
     : config_(config),
       limits_(limits),
       budget_(budget),
+      figures_(figures),
       holder_(holder),
       acceptor_(io),
       pause_(io),
--- a/src/node/client_server.hpp
+++ b/src/node/client_server.hpp
@@ -15,6 +15,7 @@
 
 #include "node/budget.hpp"
 #include "node/call.hpp"
+#include "node/figures.hpp"
 #include "node/http.hpp"
 
 namespace burlwind {
@@ -65,7 +66,7 @@
   };
 
   ClientServer(boost::asio::io_context& io, const Config& config, const Limits& limits, Budget& budget,
-               Holder& holder);
+               Figures& figures, Holder& holder);
   ~ClientServer();
   ClientServer(const ClientServer&) = delete;
   ClientServer& operator=(const ClientServer&) = delete;
@@ -87,6 +88,7 @@
   void whenEmpty(std::function<void()> done);
 
   std::size_t connections() const;
+  std::size_t active() const { return connections_[busy].size(); }  // requests that have not ended
 
  private:
   class Connection;
@@ -108,6 +110,7 @@
   const Config& config_;
   const Limits limits_;
   Budget& budget_;
+  Figures& figures_;
   Holder& holder_;
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer pause_, sweep_;
--- a/src/node/gatekeeper.cpp
+++ b/src/node/gatekeeper.cpp
@@ -90,9 +90,10 @@
     : io_(io),
       config_(config),
       budget_(bytesOfMessages(config)),
-      pool_(io, poolLimits(config), budget_, config.settings.reportFields,
+      figures_(config.host.classes),
+      pool_(io, poolLimits(config), budget_, figures_, config.settings.reportFields,
             [this](AttemptEnd&& end) { ended(std::move(end)); }),
-      server_(io, config_, serverLimits(config), budget_, *this),
+      server_(io, config_, serverLimits(config), budget_, figures_, *this),
       gateway_(config.settings, config.seed, clock_.now(), *this),
       drain_(io) {
   long long from = -1;
@@ -148,6 +149,10 @@
 
 bool Gatekeeper::takesClients() const { return ready_ && !ending_ && !server_.sendsAway(); }
 
+std::string Gatekeeper::figures() const {
+  return figures_.text(server_.active(), gateway_.pool(clock_.now()));
+}
+
 void Gatekeeper::sendAway() {
   server_.sendAway();
   log("front drain: clients are sent away");
@@ -165,6 +170,7 @@
   const Time now = clock_.now();
   Held& held = held_.try_emplace(id, io_).first->second;
   held.clientsId = call.id;
+  held.klass = call.klass;
   clientsIds_.insert(call.id);
   held.message = std::move(message);
   held.asker = asker;
@@ -271,7 +277,7 @@
   const bool early = timeout > 0 && timeout < left;
   const Time wait = early ? timeout : left;
   if (!held.body) prepare(held.message, held.head, held.body);
-  Message message{held.head, held.body};
+  Message message{held.head, held.body, held.klass};
   message.head +=
       "Req-Deadline-Ms: " + std::to_string(std::max(1L, std::lround(std::floor(wait)))) + "\r\n\r\n";
   pool_.start(id, held.attempts++, worker, std::move(message),
--- a/src/node/gatekeeper.hpp
+++ b/src/node/gatekeeper.hpp
@@ -54,6 +54,7 @@
   struct Held {
     Held(boost::asio::io_context& io) : deadline(io) {}
     std::uint64_t clientsId = 0;
+    unsigned klass = 0;
     ClientMessage message;  // until the first attempt, which makes the next two of it
     std::string head;       // as it goes on, but for the deadline
     std::shared_ptr<const std::string> body;
@@ -80,6 +81,7 @@
 
   // Operator
   bool takesClients() const override;
+  std::string figures() const override;
   void sendAway() override;
   void takeAgain() override;
 
@@ -97,6 +99,7 @@
   Config config_;
   const ModuleClock clock_;
   Budget budget_;
+  Figures figures_;
   WorkerPool pool_;
   ClientServer server_;
   std::unordered_set<irisring::WorkerId> listed_;
--- a/src/node/management.cpp
+++ b/src/node/management.cpp
@@ -37,6 +37,10 @@
     return target.takesClients() ? reply(http::status::ok, "ready\n")
                                  : reply(http::status::service_unavailable, "not ready\n");
   }
+  if (path == "/v1/metrics") {
+    if (!get) return wrongMethod("GET");
+    return reply(http::status::ok, target.figures());
+  }
   if (path == "/v1/gatekeeper/drain" || path == "/v1/gatekeeper/activate") {
     if (!put) return wrongMethod("PUT");
     path.ends_with("/drain") ? target.sendAway() : target.takeAgain();
--- a/src/node/management.hpp
+++ b/src/node/management.hpp
@@ -18,6 +18,7 @@
  public:
   virtual ~Operator() = default;
   virtual bool takesClients() const = 0;
+  virtual std::string figures() const = 0;
   virtual void sendAway() = 0;
   virtual void takeAgain() = 0;
 };
--- a/src/node/worker_pool.cpp
+++ b/src/node/worker_pool.cpp
@@ -206,6 +206,7 @@
                                                 asio::buffer(body.data(), body.size())};
     asio::async_write(socket_, all, guard([this](const Error& error, std::size_t) {
                         writing_ = false;
+                        if (!error) pool_.figures_.tried(out_.klass);
                         if (!error || !busy_) return;
                         written_ = false;
                         end(Result::connectFailed);
@@ -309,11 +310,12 @@
   bool closed_ = false;
 };
 
-WorkerPool::WorkerPool(asio::io_context& io, const Limits& limits, Budget& budget,
+WorkerPool::WorkerPool(asio::io_context& io, const Limits& limits, Budget& budget, Figures& figures,
                        std::vector<std::string> reportFields, Ended ended)
     : io_(io),
       limits_(limits),
       budget_(budget),
+      figures_(figures),
       reportFields_(std::move(reportFields)),
       ended_(std::move(ended)) {}
 
--- a/src/node/worker_pool.hpp
+++ b/src/node/worker_pool.hpp
@@ -14,6 +14,7 @@
 
 #include "irisring/decide.hpp"
 #include "node/budget.hpp"
+#include "node/figures.hpp"
 #include "node/http.hpp"
 
 namespace burlwind {
@@ -29,6 +30,7 @@
 struct Message {
   std::string head;
   std::shared_ptr<const std::string> body;
+  unsigned klass = 0;
 };
 
 class WorkerPool {
@@ -48,7 +50,7 @@
   };
   using Ended = std::function<void(AttemptEnd&&)>;
 
-  WorkerPool(boost::asio::io_context& io, const Limits& limits, Budget& budget,
+  WorkerPool(boost::asio::io_context& io, const Limits& limits, Budget& budget, Figures& figures,
              std::vector<std::string> reportFields, Ended ended);
   ~WorkerPool();
   WorkerPool(const WorkerPool&) = delete;
@@ -88,6 +90,7 @@
   boost::asio::io_context& io_;
   const Limits limits_;
   Budget& budget_;
+  Figures& figures_;
   const std::vector<std::string> reportFields_;
   const Ended ended_;
   std::unordered_map<irisring::WorkerId, Worker> workers_;  // those that may be sent to
--- a/tests/guards_test.cpp
+++ b/tests/guards_test.cpp
@@ -194,5 +194,19 @@
   for (int i = 0; i < 3; ++i) EXPECT_TRUE(b.wasSent(b.ask(0, 0, customer++)));
 }
 
+TEST(PoolView, CountsTheListedAndThoseAvoided) {
+  Bench bench;
+  bench.list({member(1), member(2), member(3)});
+  EXPECT_EQ(bench.gateway.pool(bench.now).listed, 3u);
+  EXPECT_EQ(bench.gateway.pool(bench.now).avoided, 0u);
+  std::vector<RequestId> failing;
+  for (int i = 0; i < 12; ++i) failing.push_back(bench.ask(2, 0, static_cast<CustomerId>(100 + i)));
+  for (const RequestId id : failing)
+    if (bench.attempts(id) > 0) bench.end(id, Result::reset);
+  EXPECT_EQ(bench.gateway.pool(bench.now).avoided, 3u);
+  bench.list({member(1)}, ListKind::full);
+  EXPECT_EQ(bench.gateway.pool(bench.now).listed, 1u);
+}
+
 }  // namespace
 }  // namespace irisring::test
--- a/tests/management_test.cpp
+++ b/tests/management_test.cpp
@@ -12,6 +12,7 @@
 
 struct Switch : Operator {
   bool takesClients() const override { return !away; }
+  std::string figures() const override { return "edge_balancer.active=0\n"; }
   void sendAway() override { away = true; }
   void takeAgain() override { away = false; }
   bool away = false;
@@ -139,5 +140,34 @@
   }
 }
 
+// One request of each fate; the figures tell it as soon as the client has its answer.
+TEST_F(Operated, TheFiguresTellWhatHasBecomeOfEachRequest) {
+  open();
+  Ask served, refused, failed;
+  served.klass = "edit", served.body = "x";
+  refused.plan = "small", refused.id = "00000000000000a2";
+  refused.query = "client=00000000b4d65522";
+  failed.klass = "order", failed.body = "y", failed.id = "00000000000000a3";
+  const auto first = dial(node->address());
+  first->send(served.text());
+  until([&] { return worker.count("\r\n\r\nx") == 1; }, "a request at the worker");
+  std::string told = operate("GET", "/v1/metrics");
+  EXPECT_NE(told.find("\nedge_balancer.active=1\n"), std::string::npos) << told;
+  EXPECT_NE(told.find("\nedge_balancer.ok.edit=0\n"), std::string::npos) << told;
+  EXPECT_NE(told.find("\nedge_balancer.tries.edit=1\n"), std::string::npos) << told;
+  worker.peers[0]->send(reply("200 OK", "done"));
+  until([&] { return first->has("done"); }, "the answer");
+  first->send(refused.text());
+  until([&] { return first->has("HTTP/1.1 429"); }, "a refusal");
+  first->send(failed.text());
+  until([&] { return worker.count("\r\n\r\ny") == 1; }, "another request at the worker");
+  worker.peers[0]->end();
+  until([&] { return first->has("HTTP/1.1 502"); }, "a failure");
+  told = operate("GET", "/v1/metrics");
+  for (const char* line : {"ok.edit=1", "errors.edit=0", "ok.look=0", "shed.look=1", "tries.look=0",
+                           "errors.order=1", "tries.order=1", "active=0", "pool_size=1", "pool_ejected=0"})
+    EXPECT_NE(told.find("\nedge_balancer." + std::string(line) + "\n"), std::string::npos) << line << told;
+}
+
 }  // namespace
 }  // namespace burlwind::test
--- a/tests/sides.hpp
+++ b/tests/sides.hpp
@@ -26,10 +26,11 @@
  protected:
   void open(const ClientServer::Limits& limits) {
     config = parseConfig(configJson("127.0.0.1:1").dump());
-    server.emplace(io, config, limits, budget, holder);
+    server.emplace(io, config, limits, budget, figures, holder);
     server->start();
   }
   Budget budget{1 << 20};
+  Figures figures{{"look", "edit", "order"}};
   Config config;
   Silent holder;
   std::optional<ClientServer> server;
@@ -38,10 +39,11 @@
 class Pool : public Loopback {
  protected:
   void open(const WorkerPool::Limits& limits) {
-    pool.emplace(io, limits, budget, std::vector<std::string>{"util", "queue"}, [this](AttemptEnd&& end) {
-      EXPECT_FALSE(starting) << "told from within start";
-      ends.push_back(std::move(end));
-    });
+    pool.emplace(io, limits, budget, figures, std::vector<std::string>{"util", "queue"},
+                 [this](AttemptEnd&& end) {
+                   EXPECT_FALSE(starting) << "told from within start";
+                   ends.push_back(std::move(end));
+                 });
     pool->place(1, {worker.address(), 0});
   }
   void start(irisring::RequestId id, std::optional<std::chrono::steady_clock::duration> timeout = {}) {
@@ -57,6 +59,7 @@
   }
 
   Budget budget{1 << 20};
+  Figures figures{{"look"}};
   Listener worker{io};
   std::optional<WorkerPool> pool;
   std::vector<AttemptEnd> ends;
