Hand the listening socket to the next process and let the old one finish and leave

The link carries what the old process may hold at most; suspensions and the front's drain go through operators.json.

--- a/src/node/budget.hpp
+++ b/src/node/budget.hpp
@@ -11,6 +11,8 @@
   Budget(const Budget&) = delete;
   Budget& operator=(const Budget&) = delete;
   std::size_t held() const { return held_; }
+  // What is held beyond a lower limit may stay, and grows no more.
+  void limit(std::size_t most) { most_ = most; }
 
   // What one connection holds; given back at its end.
   class Share {
@@ -40,7 +42,7 @@
   };
 
  private:
-  const std::size_t most_;
+  std::size_t most_;
   std::size_t held_ = 0;
 };
 
--- a/src/node/client_server.cpp
+++ b/src/node/client_server.cpp
@@ -80,7 +80,7 @@
     http::response<http::empty_body> head(answer.status, 11);
     if (!answer.contentType.empty()) head.set(http::field::content_type, answer.contentType);
     if (answer.retryAfter > 0) head.set(http::field::retry_after, seconds(answer.retryAfter));
-    last_ = last_ || server_.draining_ || server_.away_;
+    last_ = last_ || server_.draining_ || server_.away_ || server_.retired_;
     head.keep_alive(!last_);
     head.content_length(answer.body.size());
     state_ = State::answering;
@@ -113,7 +113,7 @@
   void finishUp() {
     Error error;
     if (state_ == State::reading && !begun() && socket_.available(error) == 0) return close();
-    if (state_ == State::reading) arm(kHalfSentAtStop);
+    if (state_ == State::reading && server_.draining_) arm(kHalfSentAtStop);
   }
 
  private:
@@ -262,7 +262,8 @@
 
   void sayReady(http::verb method) {
     if (method != http::verb::get) return reject({http::status::method_not_allowed, "only GET"});
-    const bool ready = server_.holder_.ready() && !server_.draining_ && !server_.away_;
+    const bool leaving = server_.draining_ && !server_.retired_;  // retired, its address is served
+    const bool ready = server_.holder_.ready() && !leaving && !server_.away_;
     say(ready ? http::status::ok : http::status::service_unavailable, ready ? "ready" : "not ready");
   }
 
@@ -347,24 +348,35 @@
       holder_(holder),
       acceptor_(io),
       pause_(io),
-      sweep_(io) {}
+      sweep_(io),
+      most_(limits.connections) {}
 
 ClientServer::~ClientServer() {
   for (const auto& list : connections_)
     for (const auto& connection : list) connection->abandon();
 }
 
-void ClientServer::start() {
+void ClientServer::listen(int inherited) {
   try {
-    acceptor_.open(config_.listen.protocol());
-    acceptor_.set_option(tcp::acceptor::reuse_address(true));
-    acceptor_.set_option(tcp::acceptor::receive_buffer_size(kReceiveBuffer));  // connections inherit it
-    acceptor_.bind(config_.listen);
-    acceptor_.listen();
+    if (inherited >= 0) {
+      acceptor_.assign(config_.listen.protocol(), inherited);
+    } else {
+      acceptor_.open(config_.listen.protocol());
+      acceptor_.set_option(tcp::acceptor::reuse_address(true));
+      // Where the link to a predecessor fails, the next process still gets its place.
+      acceptor_.set_option(asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>(true));
+      acceptor_.set_option(tcp::acceptor::receive_buffer_size(kReceiveBuffer));  // connections inherit it
+      acceptor_.bind(config_.listen);
+      acceptor_.listen();
+    }
     acceptor_.non_blocking(true);
   } catch (const boost::system::system_error& error) {
     throw std::runtime_error(std::string("cannot listen: ") + error.what());
   }
+}
+
+void ClientServer::start() {
+  started_ = true;
   accept();
 }
 
@@ -376,10 +388,10 @@
 
 // At the limit an unfinished or idle connection makes room for one that comes, but not before it does; where
 // there is none, the next one to turn idle or end does.
-bool ClientServer::hasRoom() const { return connections() < limits_.connections || oldestToSpare(); }
+bool ClientServer::hasRoom() const { return connections() < most_ || oldestToSpare(); }
 
 void ClientServer::accept() {
-  if (accepting_ || !hasRoom()) return;
+  if (!started_ || accepting_ || !hasRoom()) return;
   if (waiting_) return add(*std::exchange(waiting_, std::nullopt));
   if (!acceptor_.is_open()) return;
   accepting_ = true;
@@ -405,7 +417,7 @@
 
 void ClientServer::add(tcp::socket socket) {
   const auto connection = std::make_shared<Connection>(*this, std::move(socket));
-  if (connections() >= limits_.connections) dropOldest();
+  if (connections() >= most_) dropOldest();
   auto& list = connections_[unfinished];
   connection->start(list.insert(list.end(), connection));  // goes on to accept
 }
@@ -448,16 +460,33 @@
 }
 
 void ClientServer::sendAway() {
-  if (std::exchange(away_, true)) return;
-  sweep_.expires_after(limits_.awayAfter);
+  if (!std::exchange(away_, true) && !retired_) sweepAfter(limits_.awayAfter);
+}
+
+void ClientServer::sweepAfter(std::chrono::milliseconds span) {
+  sweep_.expires_after(span);
   sweep_.async_wait([this](const Error& error) {
-    if (!error && away_) finishUpAll();
+    if (!error && (away_ || retired_)) finishUpAll();
   });
 }
 
+void ClientServer::retire() {
+  retired_ = true;
+  if (waiting_) add(*std::exchange(waiting_, std::nullopt));
+  Error ignored;
+  acceptor_.close(ignored);  // the queue goes on at the successor
+  pause_.cancel();
+  sweepAfter(limits_.retireAfter);
+}
+
+void ClientServer::limit(std::size_t connections) {
+  most_ = connections;
+  accept();
+}
+
 void ClientServer::takeAgain() {
   away_ = false;
-  sweep_.cancel();
+  if (!retired_) sweep_.cancel();
 }
 
 void ClientServer::whenEmpty(std::function<void()> done) {
--- a/src/node/client_server.hpp
+++ b/src/node/client_server.hpp
@@ -63,6 +63,8 @@
     std::size_t lingerBytes = 64 * 1024;
     // From the front's drain on new connections come until it has asked for readiness and 0.2 s more.
     std::chrono::milliseconds awayAfter{1000};
+    // Of a predecessor's idle connections, so long unused that hardly any closes just as its client uses it.
+    std::chrono::milliseconds retireAfter{1500};
   };
 
   ClientServer(boost::asio::io_context& io, const Config& config, const Limits& limits, Budget& budget,
@@ -71,7 +73,13 @@
   ClientServer(const ClientServer&) = delete;
   ClientServer& operator=(const ClientServer&) = delete;
 
-  void start();  // throws std::runtime_error if it cannot listen
+  // Has its place, inherited or its own, but accepts nothing yet. Throws std::runtime_error if it cannot
+  // listen.
+  void listen(int inherited = -1);
+  void start();
+  int listener() { return acceptor_.is_open() ? acceptor_.native_handle() : -1; }
+  // The most connections from now on, instead of the limits'.
+  void limit(std::size_t connections);
   boost::asio::ip::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
 
   // The front's drain, a state that comes back: readiness is denied, every answer ends its connection, and
@@ -80,6 +88,9 @@
   void takeAgain();
   bool sendsAway() const { return away_; }
 
+  // A successor accepts in this one's place: every answer ends its connection, and readiness is the same.
+  void retire();
+
   // From here on every answer ends its connection.
   void beginDrain() { draining_ = true; }
   // Takes what the machine has accepted already, then no more; connections without a request are closed.
@@ -106,6 +117,7 @@
   void dropOldest();
   void endIfEmpty();
   void finishUpAll();
+  void sweepAfter(std::chrono::milliseconds span);
 
   const Config& config_;
   const Limits limits_;
@@ -117,9 +129,12 @@
   std::array<Connections, 3> connections_;               // by standing; the longest so first
   std::optional<boost::asio::ip::tcp::socket> waiting_;  // accepted, and no room yet
   std::function<void()> done_;
+  std::size_t most_;
   bool accepting_ = false;  // an accept is pending
+  bool started_ = false;
   bool draining_ = false;
   bool away_ = false;
+  bool retired_ = false;
 };
 
 }  // namespace burlwind
--- a/src/node/config.cpp
+++ b/src/node/config.cpp
@@ -129,7 +129,9 @@
 Config readConfig() {
   json file = readFile();
   fromEnvironment("BALANCER_DISCOVERY", "discovery", file);
-  return fromJson(file);
+  Config out = fromJson(file);
+  if (const char* folder = std::getenv("TMPDIR")) out.folder = folder;
+  return out;
 }
 
 Config rereadConfig() { return fromJson(readFile()); }
--- a/src/node/config.hpp
+++ b/src/node/config.hpp
@@ -3,6 +3,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <cstdint>
+#include <filesystem>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -16,6 +17,7 @@
   boost::asio::ip::tcp::endpoint listen;
   boost::asio::ip::tcp::endpoint discovery;
   std::optional<boost::asio::ip::tcp::endpoint> management;  // for operators only
+  std::filesystem::path folder;  // shared by the processes of an upgrade; empty: none
   std::uint64_t seed = 0;
   unsigned sockets = 1024;  // file descriptors that the process may hold
   unsigned memoryMb = 192;
--- a/src/node/gatekeeper.cpp
+++ b/src/node/gatekeeper.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/post.hpp>
 #include <cmath>
 #include <cstdio>
+#include <sstream>
 
 namespace burlwind {
 namespace {
@@ -23,6 +24,12 @@
 constexpr std::size_t kManagementSockets = ManagementServer::Limits{}.connections + 1;  // kept back
 constexpr unsigned kOwnMegabytes = 12;  // the program, the module's customers, connections without messages
 constexpr unsigned kLeastMegabytes = 4;
+constexpr std::size_t kOwnBytesOfOther = 3 << 20;  // of an upgrade's other process, in bytes of messages
+constexpr std::size_t kLeastBytes = 2 << 20;
+constexpr std::size_t kLeastConnections = 8;
+constexpr std::size_t kSparedAttempts = 4;
+constexpr Time kKeepReturns = 600000;      // ms; a worker is warm long before
+constexpr auto kFollowState = 100ms;       // an operator's call at the other process binds here 1 s later
 constexpr double kIdleShare = 0.8;         // of the time that a worker keeps an idle connection
 constexpr auto kAcceptAfterTerm = 500ms;   // connections go on coming for up to 400 ms after SIGTERM
 constexpr auto kAnswerAfterTerm = 3400ms;  // a request held so long is failed: the end may come at 3.7 s
@@ -95,6 +102,10 @@
             [this](AttemptEnd&& end) { ended(std::move(end)); }),
       server_(io, config_, serverLimits(config), budget_, figures_, *this),
       gateway_(config.settings, config.seed, clock_.now(), *this),
+      most_{clientsSockets(config), workersSockets(config), bytesOfMessages(config)},
+      handover_(io, config.folder, *this, [this](const std::string& line) { log(line); }),
+      file_(config.folder, [this](const std::string& line) { log(line); }),
+      follow_(io),
       drain_(io) {
   long long from = -1;
   if (!config_.known.empty()) {
@@ -107,11 +118,32 @@
 
 Gatekeeper::~Gatekeeper() = default;
 
-void Gatekeeper::start() {
-  server_.start();
+void Gatekeeper::start(std::function<void()> left) {
+  left_ = std::move(left);
+  OperatorsState state = file_.read();
+  adopt(state);
+  const int inherited = handover_.take();
+  if (handover_.hasPredecessor()) limit({most_.clients / 2, most_.workers / 2, most_.bytes / 2});
+  server_.listen(inherited);
+  handover_.offer();
   if (config_.management)
     management_.emplace(io_, *config_.management, ManagementServer::Limits{}, static_cast<Operator&>(*this));
   discovery_->start();
+  followState();
+  started_ = true;
+  serve();
+}
+
+// With a predecessor it waits until it has a list: until then that one does better.
+void Gatekeeper::serve() {
+  if (!started_ || serving_ || (!ready_ && handover_.hasPredecessor())) return;
+  serving_ = true;
+  server_.start();
+  handover_.sayServing();
+  std::ostringstream line;
+  line << "serves clients at " << server_.address();
+  if (management_) line << ", operators at " << management_->address();
+  log(line.str());
 }
 
 // Versions of one discovery say nothing at another, so the new one is asked for the whole list; until it
@@ -147,37 +179,130 @@
 
 // --- From the operators ----------------------------------------------------------------------------------
 
-bool Gatekeeper::takesClients() const { return ready_ && !ending_ && !server_.sendsAway(); }
+bool Gatekeeper::takesClients() const {
+  return serving_ && ready_ && !retired_ && !ending_ && !server_.sendsAway();
+}
 
 std::string Gatekeeper::figures() const {
   return figures_.text(server_.active(), gateway_.pool(clock_.now()));
 }
 
 bool Gatekeeper::suspend(const std::string& instanceId) {
-  const WorkerId worker = numberOf(instanceId);
-  if (!named_.contains(worker)) return false;
-  gateway_.suspend(clock_.now(), worker);
-  pool_.closeIdle(worker);
-  log("suspended: " + instanceId);
+  if (!named_.contains(numberOf(instanceId))) return false;
+  change([&](OperatorsState& state) {
+    auto& absence = state.absent[instanceId];
+    if (!absence.out()) absence.suspended = clock_.now();
+  });
   return true;
 }
 
 bool Gatekeeper::resume(const std::string& instanceId) {
-  const WorkerId worker = numberOf(instanceId);
-  if (!named_.contains(worker)) return false;
-  gateway_.resume(clock_.now(), worker);
-  log("resumed: " + instanceId);
+  if (!named_.contains(numberOf(instanceId))) return false;
+  change([&](OperatorsState& state) {
+    const auto found = state.absent.find(instanceId);
+    if (found != state.absent.end() && found->second.out()) found->second.resumed = clock_.now();
+  });
   return true;
 }
 
 void Gatekeeper::sendAway() {
-  server_.sendAway();
-  log("front drain: clients are sent away");
+  change([&](OperatorsState& state) { state.front = {clock_.now(), true}; });
 }
 
 void Gatekeeper::takeAgain() {
-  server_.takeAgain();
-  log("front drain is over: clients are taken again");
+  change([&](OperatorsState& state) { state.front = {clock_.now(), false}; });
+}
+
+void Gatekeeper::change(const std::function<void(OperatorsState&)>& how) {
+  OperatorsState next = state_;
+  if (file_.changed()) next.merge(file_.read());
+  how(next);
+  std::erase_if(next.absent, [&](const auto& entry) {
+    return !entry.second.out() && entry.second.changed() < clock_.now() - kKeepReturns;
+  });
+  adopt(next);
+  file_.write(next);
+}
+
+// Carries out what differs from what this process knows.
+void Gatekeeper::adopt(const OperatorsState& state) {
+  for (const auto& [id, absence] : state.absent) {
+    if (state_.absent[id] == absence) continue;
+    const WorkerId worker = numberOf(id);
+    named_.insert(worker);
+    gateway_.suspend(absence.suspended, worker);
+    if (absence.out())
+      pool_.closeIdle(worker);
+    else
+      gateway_.resume(absence.resumed, worker);
+    log((absence.out() ? "suspended: " : "resumed: ") + id);
+  }
+  if (state.front.away != server_.sendsAway()) {
+    state.front.away ? server_.sendAway() : server_.takeAgain();
+    log(state.front.away ? "front drain: clients are sent away" : "front drain is over");
+  }
+  state_ = state;
+}
+
+// The other process of an upgrade may be the one that is called.
+void Gatekeeper::followState() {
+  if (file_.changed()) {
+    OperatorsState next = state_;
+    next.merge(file_.read());
+    adopt(next);
+  }
+  follow_.expires_after(kFollowState);
+  follow_.async_wait([this](const Error& error) {
+    if (!error) followState();
+  });
+}
+
+// --- From the other process of an upgrade ------------------------------------------------------------------
+
+void Gatekeeper::limit(const Holdings& most) {
+  server_.limit(most.clients);
+  pool_.limit(most.workers);
+  budget_.limit(most.bytes);
+}
+
+// Until the successor serves each may grow by half of what is left; then this one only ever holds less, but
+// for further attempts of what it holds.
+Holdings Gatekeeper::holdings() {
+  const auto part = [&](std::size_t held, std::size_t most) {
+    return retired_ || held > most ? held : held + (most - held) / 2;
+  };
+  Holdings out{part(server_.connections(), most_.clients), part(pool_.connections(), most_.workers),
+               part(budget_.held(), most_.bytes)};
+  if (retired_) out.workers += kSparedAttempts;
+  limit(out);
+  return out;
+}
+
+void Gatekeeper::successorServes() {
+  log("a successor serves: this process ends with what it holds");
+  retired_ = true;
+  server_.retire();
+  server_.whenEmpty(left_);
+}
+
+void Gatekeeper::successorLost() {
+  log("the successor is gone before it served");
+  limit(most_);
+}
+
+void Gatekeeper::predecessorHolds(const Holdings& other) {
+  const auto rest = [](std::size_t most, std::size_t taken, std::size_t least) {
+    return most > taken + least ? most - taken : least;
+  };
+  limit({rest(most_.clients, other.clients + kSparedSockets + kManagementSockets, kLeastConnections),
+         rest(most_.workers, other.workers, kLeastConnections),
+         rest(most_.bytes, other.bytes + kOwnBytesOfOther, kLeastBytes)});
+}
+
+void Gatekeeper::predecessorLeft() {
+  log("the predecessor has left");
+  limit(most_);
+  serve();
 }
 
 // --- From the clients ------------------------------------------------------------------------------------
@@ -281,6 +406,7 @@
   }
   gateway_.members(clock_.now(), kind, members);
   ready_ = ready_ || !listed_.empty();
+  serve();
 }
 
 // --- What the module asks for ----------------------------------------------------------------------------
--- a/src/node/gatekeeper.hpp
+++ b/src/node/gatekeeper.hpp
@@ -13,7 +13,9 @@
 #include "node/client_server.hpp"
 #include "node/config.hpp"
 #include "node/discovery.hpp"
+#include "node/handover.hpp"
 #include "node/management.hpp"
+#include "node/operators_state.hpp"
 #include "node/worker_pool.hpp"
 
 namespace burlwind {
@@ -33,12 +35,13 @@
       std::chrono::duration<double, std::milli>(std::chrono::system_clock::now().time_since_epoch()).count();
 };
 
-class Gatekeeper : private irisring::Actions, private Holder, private Operator {
+class Gatekeeper : private irisring::Actions, private Holder, private Operator, private Heir {
  public:
   Gatekeeper(boost::asio::io_context& io, const Config& config);
   ~Gatekeeper() override;
 
-  void start();
+  // `left` is called if a successor has taken over and nothing is held any more.
+  void start(std::function<void()> left = [] {});
   // Moves to the discovery that a new configuration names. All else that may differ waits for a restart.
   void reload(const Config& config);
   // Goes on for a while, finishes what is held, then calls `done`.
@@ -87,6 +90,20 @@
   void sendAway() override;
   void takeAgain() override;
 
+  // Heir
+  int listener() override { return server_.listener(); }
+  Holdings holdings() override;
+  void successorServes() override;
+  void successorLost() override;
+  void predecessorHolds(const Holdings& most) override;
+  void predecessorLeft() override;
+
+  void serve();
+  void limit(const Holdings& most);
+  void change(const std::function<void(OperatorsState&)>& how);
+  void adopt(const OperatorsState& state);
+  void followState();
+
   void watch(const boost::asio::ip::tcp::endpoint& agent, long long from);
   void told(const Roster& roster, irisring::ListKind kind);
   irisring::Member memberOf(const Instance& instance) const;
@@ -112,9 +129,18 @@
   irisring::Gateway gateway_;
   std::unique_ptr<Discovery> discovery_;
   std::optional<ManagementServer> management_;
+  const Holdings most_;  // of this process where it is alone
+  Handover handover_;
+  StateFile file_;
+  OperatorsState state_;
+  boost::asio::steady_timer follow_;
+  std::function<void()> left_;
   boost::asio::steady_timer drain_;
-  bool ready_ = false;   // has had a list with a worker in it
-  bool ending_ = false;  // since SIGTERM
+  bool ready_ = false;    // has had a list with a worker in it
+  bool serving_ = false;  // takes clients, unless the front is drained
+  bool started_ = false;
+  bool retired_ = false;  // a successor serves
+  bool ending_ = false;   // since SIGTERM
 };
 
 }  // namespace burlwind
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -36,7 +36,7 @@
   ends.async_wait([&](const boost::system::error_code& error, int) {
     if (!error) gatekeeper.drain([&] { io.stop(); });
   });
-  gatekeeper.start();
+  gatekeeper.start([&] { io.stop(); });
   io.run();
   return 0;
 }
--- a/src/node/worker_pool.cpp
+++ b/src/node/worker_pool.cpp
@@ -317,7 +317,8 @@
       budget_(budget),
       figures_(figures),
       reportFields_(std::move(reportFields)),
-      ended_(std::move(ended)) {}
+      ended_(std::move(ended)),
+      most_(limits.total) {}
 
 WorkerPool::~WorkerPool() {
   *alive_ = false;
@@ -400,7 +401,7 @@
 
 // At the limit the connection that has stood idle longest at some worker makes room.
 bool WorkerPool::makeRoom() {
-  if (total_ < limits_.total) return true;
+  if (total_ < most_) return true;
   for (auto& [id, worker] : workers_) {
     if (worker.idle.empty()) continue;
     const Shared oldest = worker.idle.front();
--- a/src/node/worker_pool.hpp
+++ b/src/node/worker_pool.hpp
@@ -61,6 +61,8 @@
   // Nothing new goes there; its idle connections are closed and it is forgotten. Attempts under way go on.
   void retire(irisring::WorkerId worker);
 
+  // The most connections from now on, instead of the limits' total.
+  void limit(std::size_t total) { most_ = total; }
   // What stands idle there ends.
   void closeIdle(irisring::WorkerId worker);
 
@@ -98,6 +100,7 @@
   const Ended ended_;
   std::unordered_map<irisring::WorkerId, Worker> workers_;  // those that may be sent to
   std::unordered_map<irisring::RequestId, Shared> busy_;
+  std::size_t most_;
   std::size_t total_ = 0;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/tests/sides.hpp
+++ b/tests/sides.hpp
@@ -27,6 +27,7 @@
   void open(const ClientServer::Limits& limits) {
     config = parseConfig(configJson("127.0.0.1:1").dump());
     server.emplace(io, config, limits, budget, figures, holder);
+    server->listen();
     server->start();
   }
   Budget budget{1 << 20};
