Let the next process of an upgrade go on with what the old one has learned

A new process knew no rate of warm servers and starved the cold ones, most of them at that time, and held every customer's quota for full. The module packs what it knows; it goes through a checksummed file that is taken once. Tests: quota, open cap and cold rate go on in the next gateway and not in a blank one; damaged, foreign, stale and wild figures are none.

--- a/include/irisring/decide.hpp
+++ b/include/irisring/decide.hpp
@@ -136,6 +136,11 @@
   void resume(Time now, WorkerId worker);
   void timer(Time now, std::uint64_t tag);
 
+  // What it has learned, as plain numbers for the process that takes its place, and the taking of that by one
+  // that has had a list and no request yet: all of it or, where it makes no sense, nothing.
+  std::vector<double> knowledge(Time now);
+  bool adopt(Time now, const std::vector<double>& knowledge);
+
   PoolView pool(Time now) const;
   std::size_t customersHeld() const;
   std::size_t requestsHeld() const;
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -8,11 +8,13 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <limits>
 #include <list>
 #include <map>
 #include <optional>
 #include <stdexcept>
 #include <unordered_map>
+#include <utility>
 
 namespace irisring {
 namespace {
@@ -114,6 +116,9 @@
 constexpr int kSlots = 64;       // eight metered periods
 constexpr int kLags = kSlots - 2 * kPeriodSlots;  // slots of lag told apart
 
+constexpr double kKnowledgeForm = 1;  // another number with every change of what is handed over
+constexpr double kHandedMost = 1024;  // customers; more: megabytes
+
 constexpr Time kNever = -1e18;
 
 class Random {  // splitmix64: the same numbers with every library
@@ -134,6 +139,37 @@
   return old + (sample - old) * (1 - std::exp(-std::max(dt, 0.0) / tau));
 }
 
+// What is handed to the next process, one number after the other; each part's `exchange` serves both ways.
+class Pack {
+ public:
+  template <class... T>
+  void operator()(T&... values) {
+    (out.push_back(static_cast<double>(values)), ...);
+  }
+  std::vector<double> out;
+};
+
+class Unpack {  // of as many numbers as are asked for; one that its place cannot hold counts as 0
+ public:
+  explicit Unpack(const double* from) : at_(from) {}
+  template <class... T>
+  void operator()(T&... values) {
+    (take(values), ...);
+  }
+
+ private:
+  template <class T>
+  void take(T& value) {
+    using Range = std::numeric_limits<T>;
+    const double told = *at_++;
+    const double least = static_cast<double>(Range::lowest());
+    const bool fits = told >= least && (Range::is_integer ? told < std::ldexp(1.0, Range::digits)
+                                                          : told <= static_cast<double>(Range::max()));
+    value = fits ? static_cast<T>(told) : T{};
+  }
+  const double* at_;
+};
+
 // When a meter that adds up all customers at once brings out its readings: a value that has changed since the
 // answer before came out between the two, and the narrowest such spans of all customers, put over one
 // another, leave a few ms of the period.
@@ -144,6 +180,11 @@
   // The last time by `now` at which readings came out.
   Time before(Time now) const { return high_ + std::floor((now - high_) / period_) * period_; }
 
+  template <class Archive>
+  void exchange(Archive& archive) {
+    archive(low_, high_, known_);
+  }
+
   void sighted(Time after, Time by) {
     if (period_ <= 0 || by - after >= period_ / 2) return;
     after -= kSightSlack;
@@ -184,6 +225,8 @@
   double oldUnits = 0, oldTime = 0;  // the same over a longer memory
   double ownUse = 0, allUse = 0;     // decayed sums behind the share
   unsigned open = 0;                 // attempts out
+  unsigned elsewhere = 0;            // and at the process before this one,
+  Time elsewhereUntil = 0;           // as long as they may be
   std::array<float, kSlots> sent{};  // own units by slot
   std::array<float, kSlots> taken{};  // what the others are held to have taken from the estimate
   std::array<float, kSlots> in{};     // admit fraction in force
@@ -353,6 +396,46 @@
     if (Worker* worker = find(id)) renew(*worker, now);
   }
 
+  // Of the customers only those of whom something is known that one new to a gateway would not have.
+  std::vector<double> knowledge(Time now) {
+    Pack pack;
+    std::vector<double> customers;
+    double workers = static_cast<double>(workers_.size()), known = 0;
+    for (auto it = table_.rbegin(); it != table_.rend() && known < kHandedMost; ++it) {
+      fill(*it, now);
+      const double burst = set_.plans[it->plan].burst;
+      if (it->open == 0 && it->tokens >= burst && it->store >= burst) continue;
+      Pack one;
+      exchange(one, *it);
+      customers.insert(customers.end(), one.out.begin(), one.out.end());
+      ++known;
+    }
+    pack(workers, known);
+    exchangeOwn(pack);
+    for (Worker& worker : workers_) exchange(pack, worker);
+    std::vector<double> out = formOfKnowledge();
+    out.insert(out.end(), pack.out.begin(), pack.out.end());
+    out.insert(out.end(), customers.begin(), customers.end());
+    return out;
+  }
+
+  bool adopt(Time now, const std::vector<double>& knowledge) {
+    const std::vector<double> form = formOfKnowledge();
+    if (!table_.empty() || knowledge.size() < form.size() + 2 ||
+        !std::equal(form.begin(), form.end(), knowledge.begin()) ||
+        !std::all_of(knowledge.begin(), knowledge.end(), [](double value) { return std::isfinite(value); }))
+      return false;
+    const double workers = knowledge[form.size()], customers = knowledge[form.size() + 1];
+    if (static_cast<double>(knowledge.size()) !=
+        static_cast<double>(form.size()) + 2 + form[1] + workers * form[2] + customers * form[3])
+      return false;
+    Unpack unpack(knowledge.data() + form.size() + 2);
+    exchangeOwn(unpack);
+    for (double i = 0; i < workers; ++i) takeOver(unpackOne<Worker>(unpack), now);
+    for (double i = 0; i < customers; ++i) takeOver(unpackOne<Customer>(unpack), now);
+    return true;
+  }
+
   PoolView pool(Time now) const {
     PoolView out;
     for (const Worker& w : workers_) {
@@ -536,7 +619,7 @@
     const double want = std::min(units, plan.burst);
     c.units = toward(c.units, units, 1, kUnitsKeep);
     if (plan.rate > 0 && c.tokens < want) return 1000 * (want - c.tokens) / plan.rate;
-    if (plan.openLimit > 0 && c.open >= openPart(c, plan, ask.first, c.at)) return usual(ask.klass);
+    if (plan.openLimit > 0 && openOf(c) >= openPart(c, plan, ask.first, c.at)) return usual(ask.klass);
     noteDemand(c, units, 0);
     const bool empty = plan.rate > 0 && isEmpty(c, want);
     c.in[at(c.slot)] = static_cast<float>(empty ? c.fraction : 1);
@@ -559,6 +642,8 @@
     return c.store < want + (std::log(price) / kLogisticScale + kCaution) * doubt;
   }
 
+  static unsigned openOf(const Customer& c) { return c.open + (c.at < c.elsewhereUntil ? c.elsewhere : 0); }
+
   // The attempts of a cap that this gateway may have out, whatever the others do. A metered peak is seconds
   // old and a cap of a few is used up within ms, so no estimate of what they have out says which try is still
   // under it: one sent on beyond costs more than one refused, which comes back at once. What the even parts
@@ -1022,6 +1107,91 @@
     actions_.log(line);
   }
 
+  // --- 5. What the next process takes over --------------------------------------------------------------
+
+  template <class Archive>
+  void exchange(Archive& a, Usual& usual) {
+    a(usual.mean, usual.at);
+  }
+
+  template <class Archive>
+  void exchange(Archive& a, Customer& c) {
+    a(c.id, c.plan, c.setSize, c.at, c.tokens, c.store, c.ceiling, c.fraction, c.reading, c.readingAt);
+    a(c.readingGap, c.lookedAt, c.bornAt, c.toldTo, c.credit, c.units, c.newsUnits, c.newsTime, c.oldUnits);
+    a(c.oldTime, c.ownUse, c.allUse, c.open, c.slot);
+    for (long i = c.slot - kSlots + 1; i <= c.slot; ++i) a(c.sent[at(i)], c.taken[at(i)], c.in[at(i)]);
+  }
+
+  template <class Archive>
+  void exchange(Archive& a, Worker& w) {
+    std::uint32_t high = static_cast<std::uint32_t>(w.listed.worker >> 32);
+    std::uint32_t low = static_cast<std::uint32_t>(w.listed.worker);
+    a(high, low, w.listed.started, w.inFlight, w.limit, w.limitAt, w.fullFor, w.slowSum, w.slowCount);
+    a(w.slowAt, w.heardAt, w.earlyAt, w.fails, w.ejectedUntil, w.ejectFor, w.fullUntil, w.coldTokens);
+    a(w.coldAt);
+    w.listed.worker = std::uint64_t{high} << 32 | low;
+  }
+
+  template <class T>
+  T unpackOne(Unpack& unpack) {
+    T out;
+    exchange(unpack, out);
+    return out;
+  }
+
+  template <class T>
+  double sizeOfPacked() {
+    T any;
+    Pack pack;
+    exchange(pack, any);
+    return static_cast<double>(pack.out.size());
+  }
+
+  // What both sides must have alike: the form's number, the sizes of its parts, and the settings' shape.
+  std::vector<double> formOfKnowledge() {
+    Pack own;
+    exchangeOwn(own);
+    return {kKnowledgeForm,
+            static_cast<double>(own.out.size()),
+            sizeOfPacked<Worker>(),
+            sizeOfPacked<Customer>(),
+            static_cast<double>(set_.classes.size()),
+            static_cast<double>(set_.plans.size()),
+            static_cast<double>(set_.gateways),
+            static_cast<double>(set_.self)};
+  }
+
+  // What is out at the process before this one is load whose end this one does not see.
+  void takeOver(Worker&& known, Time now) {
+    Worker* mine = find(known.listed.worker);
+    if (!mine || mine->listed.started != known.listed.started) return;
+    known.listed = mine->listed;
+    known.others = known.inFlight;
+    known.othersAt = now;
+    known.inFlight = mine->inFlight;
+    *mine = known;
+  }
+
+  void takeOver(Customer&& known, Time now) {
+    if (known.plan >= set_.plans.size() || index_.contains(known.id)) return;
+    Time longest = 0;
+    for (unsigned klass = 0; klass < set_.classes.size(); ++klass) longest = std::max(longest, usual(klass));
+    known.elsewhere = std::exchange(known.open, 0);
+    known.elsewhereUntil = now + 2 * longest;
+    table_.push_front(known);  // the most recent was told first
+    index_[known.id] = table_.begin();
+  }
+
+  template <class Archive>
+  void exchangeOwn(Archive& a) {
+    beat_.exchange(a);
+    for (double& misfit : misfit_) a(misfit);
+    for (Usual& usual : base_) exchange(a, usual);
+    for (Usual& usual : sizes_) exchange(a, usual);
+    a(noneToldAt_, told_, bucketSince_, ceilingSince_, mostOut_, mostOutAt_, limit_, limitAt_, pressed_);
+    a(pressedAt_, budget_, warmRate_, warmAt_, warmWorkers_, stray_);
+  }
+
   const Settings set_;
   Actions& actions_;
   Random random_;
@@ -1068,6 +1238,8 @@
 void Gateway::suspend(Time now, WorkerId worker) { core_->suspend(now, worker); }
 void Gateway::resume(Time now, WorkerId worker) { core_->resume(now, worker); }
 void Gateway::timer(Time now, std::uint64_t tag) { core_->timer(now, tag); }
+std::vector<double> Gateway::knowledge(Time now) { return core_->knowledge(now); }
+bool Gateway::adopt(Time now, const std::vector<double>& knowledge) { return core_->adopt(now, knowledge); }
 PoolView Gateway::pool(Time now) const { return core_->pool(now); }
 std::size_t Gateway::customersHeld() const { return core_->customersHeld(); }
 std::size_t Gateway::requestsHeld() const { return core_->requestsHeld(); }
--- a/src/node/gatekeeper.cpp
+++ b/src/node/gatekeeper.cpp
@@ -6,6 +6,8 @@
 #include <cstdio>
 #include <sstream>
 
+#include "node/knowledge_file.hpp"
+
 namespace burlwind {
 namespace {
 
@@ -124,6 +126,9 @@
   adopt(state);
   const int inherited = handover_.take();
   if (handover_.hasPredecessor()) limit({most_.clients / 2, most_.workers / 2, most_.bytes / 2});
+  const auto knowledge = takeKnowledge(config_.folder);
+  if (handover_.hasPredecessor() && gateway_.adopt(clock_.now(), knowledge))
+    log("goes on with what its predecessor has learned");
   server_.listen(inherited);
   handover_.offer();
   if (config_.management)
@@ -278,6 +283,11 @@
   return out;
 }
 
+void Gatekeeper::successorStarts() {
+  if (!writeKnowledge(config_.folder, gateway_.knowledge(clock_.now())))
+    log("what this process has learned is not handed on");
+}
+
 void Gatekeeper::successorServes() {
   log("a successor serves: this process ends with what it holds");
   retired_ = true;
--- a/src/node/gatekeeper.hpp
+++ b/src/node/gatekeeper.hpp
@@ -93,6 +93,7 @@
   // Heir
   int listener() override { return server_.listener(); }
   Holdings holdings() override;
+  void successorStarts() override;
   void successorServes() override;
   void successorLost() override;
   void predecessorHolds(const Holdings& most) override;
--- a/src/node/handover.cpp
+++ b/src/node/handover.cpp
@@ -170,6 +170,7 @@
     Error ignored;
     socket.non_blocking(true, ignored);
     const auto link = std::make_shared<Link>(*this, std::move(socket));
+    heir_.successorStarts();
     if (!sendDescriptor(link->native(), heir_.listener())) return;
     log_("a successor has started");
     successor_ = link;
--- a/src/node/handover.hpp
+++ b/src/node/handover.hpp
@@ -29,6 +29,7 @@
   virtual int listener() = 0;  // the descriptor of the clients' listening socket; below 0: none
   // The most that this process will hold from now on, told while a successor is linked.
   virtual Holdings holdings() = 0;
+  virtual void successorStarts() = 0;  // it is given the socket next
   virtual void successorServes() = 0;
   virtual void successorLost() = 0;  // before it served
   virtual void predecessorHolds(const Holdings& most) = 0;
--- a/tests/guards_test.cpp
+++ b/tests/guards_test.cpp
@@ -1,3 +1,4 @@
+#include <cmath>
 #include <deque>
 
 #include "recorder.hpp"
@@ -252,6 +253,62 @@
   }
 }
 
+// The next process of a gateway in the middle of its day: a customer that has used its quota up, a worker
+// that failed, cold ones that are sent to by the rate of the warm ones.
+TEST(Knowledge, TheNextProcessGoesOnWhereTheOldOneStood) {
+  Bench old(settings(), 100000);
+  old.list({member(1), member(2)});
+  for (int i = 0; i < 200; ++i, old.now += 10) {
+    const RequestId id = old.ask(0, 0, 100 + i % 50);
+    if (old.wasSent(id)) old.end(id, Result::ok, 5, 20);
+  }
+  while (!old.wasRefused(old.ask(0, 0, 7))) old.end(old.last, Result::ok, 1);
+  EXPECT_TRUE(old.wasSent(old.ask(0, 1, 8)));  // its part of the cap
+  const auto known = old.gateway.knowledge(old.now);
+
+  Bench next(settings(), old.now), blank(settings(), old.now);
+  for (Bench* bench : {&next, &blank}) bench->list({member(1), member(2), member(3, 0, old.now - 5000)});
+  EXPECT_TRUE(next.gateway.adopt(next.now, known));
+  EXPECT_TRUE(next.wasRefused(next.ask(0, 0, 7)));
+  EXPECT_FALSE(blank.wasRefused(blank.ask(0, 0, 7)));
+  EXPECT_TRUE(next.wasRefused(next.ask(0, 1, 8)));  // it is out at the old one
+  unsigned sent[2] = {0, 0};                        // to the cold one, where there is no other
+  for (Bench* bench : {&next, &blank}) {
+    bench->gateway.suspend(bench->now, 1);
+    bench->gateway.suspend(bench->now, 2);
+    for (CustomerId customer = 200; customer < 300; ++customer) {
+      bench->now += 10;
+      const RequestId id = bench->ask(0, 0, customer);
+      if (!bench->wasSent(id)) continue;
+      ++sent[bench == &blank];
+      bench->end(id, Result::ok, 5);
+    }
+  }
+  EXPECT_GT(sent[0], 3 * sent[1]);
+}
+
+TEST(Knowledge, WhatMakesNoSenseIsTakenAsNone) {
+  Bench old;
+  old.list({member(1)});
+  old.end(old.ask(), Result::ok);
+  const auto sound = old.gateway.knowledge(old.now);
+  auto shorter = sound, other = sound, endless = sound, many = sound;
+  shorter.pop_back(), other[0] += 1, endless.back() = HUGE_VAL, many[8] = 1e300;
+  for (const auto& bad : {shorter, other, endless, many, std::vector<double>{}}) {
+    Bench next;
+    EXPECT_FALSE(next.gateway.adopt(next.now, bad));
+  }
+  std::vector<double> wild = sound;  // of the right form, with figures that no gateway has
+  for (std::size_t i = 10; i < wild.size(); ++i) wild[i] = i % 2 ? -1e200 : 1e200;
+  Bench next;
+  next.list({member(1)});
+  next.gateway.adopt(next.now, wild);
+  Settings alone = settings();
+  alone.gateways = 1;
+  Bench foreign(alone);
+  EXPECT_FALSE(foreign.gateway.adopt(foreign.now, sound));
+}
+
 TEST(PoolView, CountsTheListedAndThoseAvoided) {
   Bench bench;
   bench.list({member(1), member(2), member(3)});
--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -11,6 +11,7 @@
 #include <fstream>
 
 #include "loopback.hpp"
+#include "node/knowledge_file.hpp"
 
 namespace burlwind::test {
 namespace {
@@ -126,6 +127,7 @@
   openNext(old.clients);
   EXPECT_EQ(next->address(), old.clients);
   untilLogged(old, "a successor serves");
+  EXPECT_FALSE(std::filesystem::exists(folder + "/knowledge"));  // taken, and for this one alone
   EXPECT_TRUE(operate(next->management(), "GET", "/v1/readyz").starts_with("HTTP/1.1 200"));
   serve("00000000000000a1", "by the old one");
   until([&] { return idle->ended; }, "the old connection's end");
@@ -187,6 +189,24 @@
   EXPECT_EQ(endOf(old), 0);
 }
 
+TEST_F(Upgrade, KnowledgeComesBackWholeOrNotAtAllAndOnce) {
+  const std::vector<double> known{1, 2.5, -3e100};
+  EXPECT_TRUE(writeKnowledge(folder, known));
+  EXPECT_EQ(takeKnowledge(folder), known);
+  EXPECT_TRUE(takeKnowledge(folder).empty());
+  writeKnowledge(folder, known);
+  std::filesystem::resize_file(folder + "/knowledge", 40);
+  EXPECT_TRUE(takeKnowledge(folder).empty());
+  writeKnowledge(folder, known);
+  std::fstream(folder + "/knowledge", std::ios::in | std::ios::out | std::ios::binary).seekp(30) << 'x';
+  EXPECT_TRUE(takeKnowledge(folder).empty());
+  writeKnowledge(folder, known);
+  std::filesystem::last_write_time(folder + "/knowledge",
+                                   std::filesystem::file_time_type::clock::now() - std::chrono::hours(1));
+  EXPECT_TRUE(takeKnowledge(folder).empty());
+  EXPECT_FALSE(writeKnowledge(folder + "/nowhere", known));
+}
+
 TEST_F(Upgrade, LeftoversNeverStopAStart) {
   for (const char* text :
        {"", "{\"form\":1,\"absent\":{\"s-1\":{\"suspended\":", "{\"form\":99}",
