Stream large answers from the loan server to the client with one piece held

An answer written in small pieces goes on as long as it moves; one whose end only the connection tells is served. A client's body may take a second and one more for every 32 KiB of it that have come.

--- a/src/node/client_server.cpp
+++ b/src/node/client_server.cpp
@@ -33,6 +33,11 @@
   return http::status::bad_request;
 }
 
+std::string hexOf(std::size_t value) {
+  char text[17];
+  return {text, std::to_chars(text, text + sizeof text, value, 16).ptr};
+}
+
 // When bytes came that were read ahead. A request's time counts from its last byte, also while it waits
 // behind another one.
 class Arrivals {
@@ -91,9 +96,48 @@
     write();
   }
 
+  void begin(const std::string& contentType, std::optional<std::uint64_t> length) override {
+    if (state_ != State::held) return;
+    http::response<http::empty_body> head(http::status::ok, 11);
+    if (!contentType.empty()) head.set(http::field::content_type, contentType);
+    chunked_ = !length && version_ >= 11;
+    last_ = last_ || server_.draining_ || server_.away_ || server_.retired_ || (!length && !chunked_);
+    head.keep_alive(!last_);
+    if (length) head.content_length(*length);
+    if (chunked_) head.chunked(true);
+    state_ = State::streaming;
+    status_ = http::status::ok;
+    append(out_, head, Written::head);
+    bytes_.shrinkTo(in_.capacity());
+  }
+
+  void piece(std::string&& bytes) override {
+    if (state_ != State::streaming) return;
+    body_ = std::move(bytes);
+    if (chunked_) out_ += hexOf(body_.size()) + "\r\n", body_ += "\r\n";
+    write();
+  }
+
+  void finish() override {
+    if (state_ != State::streaming) return;
+    state_ = State::answering;
+    if (chunked_) out_ += "0\r\n\r\n";
+    out_.empty() ? written() : write();
+  }
+
+  // Where only the connection's end would tell that the answer was whole, it must not look like one.
+  void breakOff() override {
+    if (state_ != State::streaming) return;
+    if (call_) server_.figures_.broken(call_->klass);
+    Error ignored;
+    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    state_ = State::answering;  // the holder knows
+    close();
+  }
+
   void close() {
     if (state_ == State::closed) return;
-    const bool held = state_ == State::held;
+    const bool held = state_ == State::held || state_ == State::streaming;
     const auto self = shared_from_this();
     abandon();
     server_.remove(standing_, at_);
@@ -117,7 +161,7 @@
   }
 
  private:
-  enum class State { reading, held, answering, lingering, closed };
+  enum class State { reading, held, streaming, answering, lingering, closed };
 
   template <class Handler>
   auto guard(Handler handler) {
@@ -143,7 +187,8 @@
 
   void expire() {
     if (state_ == State::reading && begun()) return reject({http::status::request_timeout, "too slow"});
-    if (state_ == State::answering && call_) server_.figures_.broken(call_->klass);
+    if ((state_ == State::answering || state_ == State::streaming) && call_)
+      server_.figures_.broken(call_->klass);
     if (state_ != State::held) close();
   }
 
@@ -196,7 +241,11 @@
     const bool done = feed(*parser_, in_, error);
     if (error) return reject({statusOf(error), "malformed request"});
     if (!fits(parser_->get().body().capacity())) return;
-    if (done) handle(parser_->release());
+    if (done) return handle(parser_->release());
+    const auto earned =
+        std::chrono::milliseconds(1000 * (received_ - bodyFrom_) / server_.limits_.bodyBytesPerSecond);
+    arm(std::chrono::ceil<std::chrono::milliseconds>(bodyAt_ + server_.limits_.bodyWithin + earned -
+                                                     Clock::now()));
   }
 
   // A request's first byte.
@@ -214,6 +263,9 @@
   bool welcome() {
     const auto& head = parser_->get();
     last_ = !head.keep_alive();
+    version_ = head.version();
+    bodyAt_ = Clock::now();
+    bodyFrom_ = received_;
     if (!isHealth(head) && !call(head)) return false;
     const auto length = parser_->content_length();
     if (!fits(length ? static_cast<std::size_t>(*length) : 0)) return false;
@@ -283,20 +335,29 @@
   }
 
   void write() {
-    if (!writing_.empty()) return;
+    if (writes_) return;
     writing_.swap(out_);
-    const bool whole = state_ == State::answering;
-    if (whole) arm(server_.limits_.writeWithin);
+    const bool whole = state_ == State::answering, part = state_ == State::streaming;
+    if (whole || part) arm(server_.limits_.writeWithin);
+    writes_ = true;
     const std::array<asio::const_buffer, 2> all{asio::buffer(writing_),
-                                                whole ? asio::buffer(body_) : asio::const_buffer{}};
-    asio::async_write(socket_, all, guard([this, whole](const Error& error, std::size_t) {
+                                                whole || part ? asio::buffer(body_) : asio::const_buffer{}};
+    asio::async_write(socket_, all, guard([this, whole, part](const Error& error, std::size_t) {
                         if (error) return close();
+                        writes_ = false;
                         writing_.clear();
                         if (whole) return written();
+                        if (part) return partWritten();
                         if (!out_.empty()) write();
                       }));
   }
 
+  void partWritten() {
+    timer_.cancel();
+    body_ = {};
+    server_.holder_.wantsMore(id_);
+  }
+
   void written() {
     if (call_) server_.figures_.ended(call_->klass, status_);
     body_ = {};
@@ -337,6 +398,11 @@
   irisring::RequestId id_ = 0;
   bool last_ = false;  // the connection ends with the next answer
   bool reading_ = false;
+  bool writes_ = false;
+  bool chunked_ = false;      // the large answer under way
+  unsigned version_ = 11;     // of the request's HTTP
+  Clock::time_point bodyAt_;  // its head was whole
+  std::size_t bodyFrom_ = 0;
 };
 
 ClientServer::ClientServer(asio::io_context& io, const Config& config, const Limits& limits, Budget& budget,
@@ -366,6 +432,7 @@
       // Where the link to a predecessor fails, the next process still gets its place.
       acceptor_.set_option(asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>(true));
       acceptor_.set_option(tcp::acceptor::receive_buffer_size(kReceiveBuffer));  // connections inherit it
+      acceptor_.set_option(tcp::acceptor::send_buffer_size(kSendBuffer));
       acceptor_.bind(config_.listen);
       acceptor_.listen();
     }
--- a/src/node/client_server.hpp
+++ b/src/node/client_server.hpp
@@ -33,6 +33,11 @@
   virtual ~Asker() = default;
   // The final answer, once for each request held.
   virtual void answer(Answer&& answer) = 0;
+  // Or a large one: its begin, its pieces, each of which the holder is asked for, and its end.
+  virtual void begin(const std::string& contentType, std::optional<std::uint64_t> length) = 0;
+  virtual void piece(std::string&& bytes) = 0;
+  virtual void finish() = 0;
+  virtual void breakOff() = 0;  // its end will not come: the client must see that
 };
 
 // What takes the requests.
@@ -46,6 +51,8 @@
   virtual irisring::RequestId nextId() = 0;
   virtual void take(irisring::RequestId id, const Call& call, ClientMessage&& message,
                     const std::shared_ptr<Asker>& asker) = 0;
+  // The last piece, or the answer's begin, is through: the next may come.
+  virtual void wantsMore(irisring::RequestId id) = 0;
   // The client has gone; no answer is wanted.
   virtual void left(irisring::RequestId id) = 0;
 };
@@ -58,7 +65,10 @@
     // A request, from its first byte; the first one from the connection's begin. What is not whole by then is
     // owed an answer or an end within 3 s.
     std::chrono::milliseconds wholeWithin{2500};
-    std::chrono::milliseconds writeWithin{10000};
+    // And its body: so long, and a second for each so many bytes that have come.
+    std::chrono::milliseconds bodyWithin{1000};
+    std::size_t bodyBytesPerSecond = 32 * 1024;
+    std::chrono::milliseconds writeWithin{10000};  // an answer, or a piece of a large one
     std::chrono::milliseconds lingerFor{400};
     std::size_t lingerBytes = 64 * 1024;
     // From the front's drain on new connections come until it has asked for readiness and 0.2 s more.
--- a/src/node/gatekeeper.cpp
+++ b/src/node/gatekeeper.cpp
@@ -100,7 +100,7 @@
       config_(config),
       budget_(bytesOfMessages(config)),
       figures_(config.host.classes),
-      pool_(io, poolLimits(config), budget_, figures_, config.settings.reportFields,
+      pool_(io, poolLimits(config), budget_, figures_, config.settings.reportFields, *this,
             [this](AttemptEnd&& end) { ended(std::move(end)); }),
       server_(io, config_, serverLimits(config), budget_, figures_, *this),
       gateway_(config.settings, config.seed, clock_.now(), *this),
@@ -371,7 +371,10 @@
   Outcome& outcome = end.outcome;
   const bool mine = held_.contains(outcome.id);
   outcome.finished = !mine || outcome.result == Result::ok;
-  if (mine && outcome.result == Result::ok) {
+  if (mine && held_.at(outcome.id).streams) {
+    outcome.finished = true;
+    endStream(outcome.id, outcome.result == Result::ok);
+  } else if (mine && outcome.result == Result::ok) {
     Answer served;
     served.body = std::move(end.body);
     served.contentType = std::move(end.contentType);
@@ -380,6 +383,29 @@
   gateway_.outcome(clock_.now(), outcome);
 }
 
+// A large answer has begun to come: it is the request's answer, and nothing else ends the request any more
+// but its end or its client's.
+bool Gatekeeper::begun(RequestId id, const std::string& contentType, std::optional<std::uint64_t> length) {
+  const auto found = held_.find(id);
+  if (found == held_.end()) return false;
+  found->second.streams = true;
+  found->second.deadline.cancel();
+  found->second.asker->begin(contentType, length);
+  return true;
+}
+
+void Gatekeeper::piece(RequestId id, std::string&& bytes) {
+  const auto found = held_.find(id);
+  if (found != held_.end()) found->second.asker->piece(std::move(bytes));
+}
+
+void Gatekeeper::endStream(RequestId id, bool whole) {
+  const auto found = held_.find(id);
+  const auto asker = std::move(found->second.asker);
+  release(found);
+  whole ? asker->finish() : asker->breakOff();
+}
+
 // --- From discovery --------------------------------------------------------------------------------------
 
 Member Gatekeeper::memberOf(const Instance& instance) const {
@@ -477,6 +503,7 @@
 void Gatekeeper::answer(RequestId id, Answer&& answer) {
   const auto found = held_.find(id);
   if (found == held_.end()) return;
+  if (found->second.streams) return endStream(id, false);  // too late for another
   const auto asker = std::move(found->second.asker);
   release(found);
   asker->answer(std::move(answer));
--- a/src/node/gatekeeper.hpp
+++ b/src/node/gatekeeper.hpp
@@ -35,7 +35,11 @@
       std::chrono::duration<double, std::milli>(std::chrono::system_clock::now().time_since_epoch()).count();
 };
 
-class Gatekeeper : private irisring::Actions, private Holder, private Operator, private Heir {
+class Gatekeeper : private irisring::Actions,
+                   private Holder,
+                   private Operator,
+                   private Heir,
+                   private AnswerSink {
  public:
   Gatekeeper(boost::asio::io_context& io, const Config& config);
   ~Gatekeeper() override;
@@ -65,6 +69,7 @@
     irisring::Time expires = 0;
     boost::asio::steady_timer deadline;
     unsigned attempts = 0;
+    bool streams = false;  // the client has an answer's begin
   };
 
   // Holder
@@ -72,8 +77,14 @@
   irisring::RequestId nextId() override { return ++lastId_; }
   void take(irisring::RequestId id, const Call& call, ClientMessage&& message,
             const std::shared_ptr<Asker>& asker) override;
+  void wantsMore(irisring::RequestId id) override { pool_.more(id); }
   void left(irisring::RequestId id) override;
 
+  // AnswerSink
+  bool begun(irisring::RequestId id, const std::string& contentType,
+             std::optional<std::uint64_t> length) override;
+  void piece(irisring::RequestId id, std::string&& bytes) override;
+
   // Actions
   void send(irisring::RequestId id, irisring::WorkerId worker, irisring::Time timeout) override;
   void refuse(irisring::RequestId id, irisring::Time retryAfter) override;
@@ -113,6 +124,7 @@
   void giveUpAll();
   void reportMoot(irisring::RequestId id, unsigned attempt, irisring::WorkerId worker);
   void answer(irisring::RequestId id, Answer&& answer);
+  void endStream(irisring::RequestId id, bool whole);
   void release(std::unordered_map<irisring::RequestId, Held>::iterator held);
 
   boost::asio::io_context& io_;
--- a/src/node/http.hpp
+++ b/src/node/http.hpp
@@ -22,15 +22,15 @@
 using Error = boost::system::error_code;
 
 constexpr std::size_t kMostBody = 64 * 1024;  // of a client
-// Of a worker. The protocol has 64 KiB here too, but workers were seen to answer with more, and what a worker
-// has made for a request is its answer; what all answers hold together is bounded by the budget.
-constexpr std::size_t kMostAnswer = 1024 * 1024;
+// Of a worker's answer what is held here; a larger one streams.
+constexpr std::size_t kMostHeldAnswer = 64 * 1024;
 constexpr std::size_t kMostHeader = 16 * 1024;
 constexpr std::size_t kReadStep = 4096;
 constexpr std::size_t kReadStepOfBody = 32 * 1024;
 // Of the machine's memory for what a peer has sent and nobody has read yet; doubled by the system. Left to
 // itself that grows to megabytes a connection while a peer sends at full speed.
 constexpr int kReceiveBuffer = 32 * 1024;
+constexpr int kSendBuffer = 64 * 1024;  // the same for what a slow client has not read yet
 
 inline std::string_view view(beast::string_view text) { return {text.data(), text.size()}; }
 
@@ -92,11 +92,14 @@
   return codings == 0 || beast::iequals(fields["Transfer-Encoding"], "chunked");
 }
 
+enum class Written { whole, head };
+
 template <bool isRequest, class Body>
-void append(std::string& out, const http::message<isRequest, Body>& message) {
+void append(std::string& out, const http::message<isRequest, Body>& message, Written what = Written::whole) {
   http::serializer<isRequest, Body> serializer(message);
+  serializer.split(what == Written::head);
   Error error;
-  while (!serializer.is_done() && !error) {
+  while (!(what == Written::head ? serializer.is_header_done() : serializer.is_done()) && !error) {
     std::size_t size = 0;
     serializer.next(error, [&](Error&, const auto& buffers) {
       for (const asio::const_buffer part : beast::buffers_range_ref(buffers)) {
--- a/src/node/worker_pool.cpp
+++ b/src/node/worker_pool.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <cmath>
+#include <limits>
 
 namespace burlwind {
 namespace {
@@ -43,7 +44,9 @@
   return countOf(fields, name) == 1 ? view(fields[name]) : std::string_view{};
 }
 
-Result resultOf(const http::response<http::string_body>& answer) {
+using AnswerBody = http::basic_dynamic_body<beast::flat_buffer>;
+
+Result resultOf(const http::response<AnswerBody>& answer) {
   if (answer.result() == http::status::ok) return Result::ok;
   const bool busy = answer.result() == http::status::service_unavailable ||
                     answer.result() == http::status::gateway_timeout;
@@ -92,6 +95,7 @@
     out_ = std::move(message);
     written_ = false;
     busy_ = true;
+    streams_ = false;
     interim_ = 0;
     await();
     if (up_)
@@ -109,6 +113,14 @@
     return outcome_;
   }
 
+  // The client has the piece before.
+  void more() {
+    if (!streams_ || !busy_ || reading_) return;
+    if (parser_->is_done()) return answered();
+    if (eof_) return end(Result::reset);
+    passOn();
+  }
+
   bool busy() const { return busy_; }
   RequestId request() const { return outcome_.id; }
 
@@ -163,6 +175,7 @@
   void expire() {
     if (!busy_) return pool_.drop(*this);
     if (!up_) return end(Result::connectFailed);
+    if (streams_) return end(Result::reset);
     end(answering_ && Clock::now() < giveUpAt_ ? Result::spoilt : Result::timeout);
   }
 
@@ -170,7 +183,8 @@
   void await() {
     answering_ = false;
     parser_.emplace();
-    parser_->body_limit(kMostAnswer);
+    // What is held is bounded as it comes; without a limit Beast 1.74 takes no told length at all.
+    parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
     parser_->header_limit(kMostHeader);
   }
 
@@ -216,19 +230,34 @@
   void read() {
     const bool body = busy_ && parser_->is_header_done();
     if (!body && in_.size() == 0 && in_.capacity() > 2 * kReadStep) in_.shrink_to_fit();
+    reading_ = true;
     socket_.async_read_some(in_.prepare(body ? kReadStepOfBody : kReadStep),
                             guard([this](const Error& error, std::size_t n) {
+                              reading_ = false;
                               in_.commit(n);
                               if (!busy_) return pool_.drop(*this);
-                              error ? end(Result::reset) : take();
+                              if (error) return broken(error);
+                              take();
                             }));
   }
 
-  void take() {
-    if (!answering_) {
-      answering_ = true;
-      arm(std::min(giveUpAt_, Clock::now() + pool_.limits_.answerWithin));
+  // An end that is part of the answer where its length is told by nothing else.
+  void broken(const Error& error) {
+    Error failed = error;
+    eof_ = true;
+    if (error == asio::error::eof && parser_->is_header_done() && parser_->need_eof()) {
+      failed = {};
+      parser_->put_eof(failed);
     }
+    if (failed) return end(Result::reset);
+    streams_ ? passOn() : answered();
+  }
+
+  void take() {
+    if (!answering_) firstByteAt_ = Clock::now();
+    answering_ = true;
+    arm(streams_ ? Clock::now() + pool_.limits_.streamsOnWithin
+                 : std::min(giveUpAt_, Clock::now() + pool_.limits_.goesOnWithin));
     Error error;
     if (!parser_->is_header_done()) {
       const bool head = feed(*parser_, in_, error, Feed::head);
@@ -236,19 +265,55 @@
       if (head && parser_->get().result_int() < 200) return passOver();
     }
     const bool done = feed(*parser_, in_, error);
-    if (error || !bytes_.growTo(parser_->get().body().capacity() + in_.capacity()))
-      return end(Result::spoilt);
+    if (error) return end(streams_ ? Result::reset : Result::spoilt);
+    if (streams_) return passOn();
+    auto& body = parser_->get().body();
+    // Nobody reads what stands in an error.
+    if (parser_->is_header_done() && parser_->get().result() != http::status::ok) body.consume(body.size());
+    if (!bytes_.growTo(body.capacity() + in_.capacity())) return end(Result::spoilt);
+    if (isLarge()) return stream();
     if (done) return answered();
     read();
   }
 
-  // Whether the head tells where the answer ends. One that only the connection's end would tell may as well
-  // have been cut short: it is not served.
+  bool isLarge() const {
+    if (!parser_->is_header_done() || parser_->get().result() != http::status::ok) return false;
+    const auto length = parser_->content_length();
+    return parser_->get().body().size() > kMostHeldAnswer || (length && *length > kMostHeldAnswer);
+  }
+
+  // Too large to be held: from here on the client has its begin, and there is no other attempt and no
+  // deadline.
+  void stream() {
+    streams_ = true;
+    giveUpAt_ = Clock::time_point::max();
+    std::optional<std::uint64_t> length;
+    if (const auto told = parser_->content_length()) length = *told;
+    const std::string type(view(parser_->get()[http::field::content_type]));
+    if (!pool_.sink_.begun(outcome_.id, type, length)) return end(Result::cancelled);
+    passOn();
+  }
+
+  // What has come goes on as one piece, and the next is read once that is through; the read is then the only
+  // thing that waits for the worker.
+  void passOn() {
+    auto& body = parser_->get().body();
+    if (body.size() == 0 && parser_->is_done()) return answered();
+    if (body.size() == 0) {
+      arm(Clock::now() + pool_.limits_.streamsOnWithin);
+      return read();
+    }
+    timer_.cancel();
+    std::string bytes(static_cast<const char*>(body.data().data()), body.size());
+    body.consume(body.size());
+    pool_.sink_.piece(outcome_.id, std::move(bytes));
+  }
+
+  // Whether the head tells in one way where the answer ends. A connection's orderly end may tell it too; one
+  // that was cut off is reset.
   bool readable() {
     const auto& head = parser_->get();
-    if (!plainFraming(head)) return false;
-    if (head.result() == http::status::switching_protocols) return false;
-    return !parser_->need_eof() || head.result_int() < 200;
+    return plainFraming(head) && head.result() != http::status::switching_protocols;
   }
 
   // An interim answer; the one that counts is still to come.
@@ -265,14 +330,16 @@
     AttemptEnd whole;
     outcome_.result = resultOf(answer);
     stamp();
+    if (streams_)  // what is timed is its begin; how long the rest took was the client's part too
+      outcome_.elapsed = std::chrono::duration<double, std::milli>(firstByteAt_ - startedAt_).count();
     const auto percent = number<int>(only(answer, "X-RateLimit-Used"));
     if (percent && *percent >= 0 && *percent <= kMostPercent) outcome_.usePercent = *percent;
     outcome_.report = readReport(only(answer, "Srv-Load"), pool_.reportFields_);
     whole.outcome = outcome_;
     whole.contentType = std::string(view(answer[http::field::content_type]));
     // Kept only if the exchange was a whole and ordinary one: nothing of it is left on either side.
-    const bool good = !writing_ && in_.size() == 0 && answer.keep_alive();
-    whole.body = std::move(answer.body());
+    const bool good = !writing_ && !eof_ && in_.size() == 0 && answer.keep_alive();
+    whole.body.assign(static_cast<const char*>(answer.body().data().data()), answer.body().size());
     busy_ = false;
     const auto self = shared_from_this();
     if (good) {
@@ -297,26 +364,30 @@
   asio::steady_timer timer_;
   Budget::Share bytes_;
   beast::flat_buffer in_;
-  std::optional<http::response_parser<http::string_body>> parser_;
+  std::optional<http::response_parser<AnswerBody>> parser_;
   Message out_;
   Outcome outcome_;
-  Clock::time_point startedAt_, giveUpAt_;
+  Clock::time_point startedAt_, giveUpAt_, firstByteAt_;
   unsigned interim_ = 0;
   bool up_ = false;
   bool busy_ = false;
   bool written_ = false;    // the request's last byte: from here on it may have run
   bool writing_ = false;    // the request's bytes are still in use
   bool answering_ = false;  // the answer's first byte has come
+  bool streams_ = false;    // and the client has its begin
+  bool reading_ = false;
+  bool eof_ = false;
   bool closed_ = false;
 };
 
 WorkerPool::WorkerPool(asio::io_context& io, const Limits& limits, Budget& budget, Figures& figures,
-                       std::vector<std::string> reportFields, Ended ended)
+                       std::vector<std::string> reportFields, AnswerSink& sink, Ended ended)
     : io_(io),
       limits_(limits),
       budget_(budget),
       figures_(figures),
       reportFields_(std::move(reportFields)),
+      sink_(sink),
       ended_(std::move(ended)),
       most_(limits.total) {}
 
@@ -376,6 +447,13 @@
   connection->begin(id, attempt, std::move(message), timeout);
 }
 
+void WorkerPool::more(RequestId id) {
+  const auto found = busy_.find(id);
+  if (found == busy_.end()) return;
+  const Shared connection = found->second;  // may end by this
+  connection->more();
+}
+
 std::optional<AttemptEnd> WorkerPool::giveUp(RequestId id, Result result) {
   const auto found = busy_.find(id);
   if (found == busy_.end()) return std::nullopt;
--- a/src/node/worker_pool.hpp
+++ b/src/node/worker_pool.hpp
@@ -19,13 +19,24 @@
 
 namespace burlwind {
 
-// How an attempt ended, and the answer if it was served.
+// How an attempt ended, and the answer if it was served and has not streamed.
 struct AttemptEnd {
   irisring::Outcome outcome;
   std::string body;
   std::string contentType;
 };
 
+// What a large answer passes on before its end.
+class AnswerSink {
+ public:
+  virtual ~AnswerSink() = default;
+  // From here on it streams, and `ended` tells whether it came whole. False: nobody wants it.
+  virtual bool begun(irisring::RequestId id, const std::string& contentType,
+                     std::optional<std::uint64_t> length) = 0;
+  // The next piece comes once more() is called.
+  virtual void piece(irisring::RequestId id, std::string&& bytes) = 0;
+};
+
 // What an attempt writes. The body is the same for all attempts of a request.
 struct Message {
   std::string head;
@@ -38,10 +49,11 @@
   struct Limits {
     std::chrono::milliseconds connectTimeout{250};
     std::chrono::milliseconds idleFor{24000};  // shorter than a worker keeps an idle connection
-    // An answer from its first byte to its last: workers write one at once, so one that stops half way does
-    // not go on. Longer: a client waits in vain; shorter: a long answer over a slow line is given up.
-    std::chrono::milliseconds answerWithin{300};
-    std::size_t total = 480;  // connections to all workers
+    // Without a further byte of an answer that has begun and is held here: what stops half way seldom goes
+    // on. Longer: a client waits in vain; shorter: one written in small pieces is given up.
+    std::chrono::milliseconds goesOnWithin{300};
+    std::chrono::milliseconds streamsOnWithin{5000};  // the same where the client has its begin
+    std::size_t total = 480;                          // connections to all workers
     std::size_t idlePerWorker = 64;
   };
   struct Place {
@@ -51,7 +63,7 @@
   using Ended = std::function<void(AttemptEnd&&)>;
 
   WorkerPool(boost::asio::io_context& io, const Limits& limits, Budget& budget, Figures& figures,
-             std::vector<std::string> reportFields, Ended ended);
+             std::vector<std::string> reportFields, AnswerSink& sink, Ended ended);
   ~WorkerPool();
   WorkerPool(const WorkerPool&) = delete;
   WorkerPool& operator=(const WorkerPool&) = delete;
@@ -69,6 +81,8 @@
   // Starts one attempt. `ended` is called once for it, never from within this call.
   void start(irisring::RequestId id, unsigned attempt, irisring::WorkerId worker, Message message,
              std::optional<std::chrono::steady_clock::duration> timeout);
+  // The piece before has been passed on.
+  void more(irisring::RequestId id);
   // Gives the attempt of this request up and closes its connection; `ended` is not called for it.
   std::optional<AttemptEnd> giveUp(irisring::RequestId id, irisring::Result result);
 
@@ -97,6 +111,7 @@
   Budget& budget_;
   Figures& figures_;
   const std::vector<std::string> reportFields_;
+  AnswerSink& sink_;
   const Ended ended_;
   std::unordered_map<irisring::WorkerId, Worker> workers_;  // those that may be sent to
   std::unordered_map<irisring::RequestId, Shared> busy_;
--- a/tests/loopback.hpp
+++ b/tests/loopback.hpp
@@ -28,6 +28,7 @@
   bool ended = false;
 
   void read() {
+    if (paused_) return;
     socket_.async_read_some(asio::buffer(piece_),
                             [self = shared_from_this(), this](const Error& error, std::size_t n) {
                               got.append(piece_.data(), n);
@@ -41,6 +42,21 @@
     Error ignored;  // the other side may have gone already
     asio::write(socket_, asio::buffer(text), ignored);
   }
+  // While others run; then ends its side if it is to, and tells.
+  void sendLater(const std::string& text, bool last = false, bool* done = nullptr) {
+    const auto held = std::make_shared<const std::string>(text);
+    asio::async_write(socket_, asio::buffer(*held),
+                      [self = shared_from_this(), this, held, last, done](const Error& error, std::size_t) {
+                        Error ignored;
+                        if (!error && last) socket_.shutdown(tcp::socket::shutdown_send, ignored);
+                        if (!error && done) *done = true;
+                      });
+  }
+  void pause() { paused_ = true; }
+  void resume() {
+    paused_ = false;
+    read();
+  }
   void end() { socket_.close(); }
   bool has(const std::string& text) const { return got.find(text) != std::string::npos; }
   std::size_t count(const std::string& text) const {
@@ -52,6 +68,7 @@
  private:
   tcp::socket socket_;
   std::array<char, 4096> piece_{};
+  bool paused_ = false;
 };
 using PeerPtr = std::shared_ptr<Peer>;
 
