Keep room at a retired process for the answers to what it still holds

Found by the takeover's own test, which failed now and then: the old process froze its budget at what it held when its successor began to serve, so an answer that came later found no room, counted as spoilt and was asked for again until its client gave up. Ruled out: the link and the handed socket (the successor answered), the worker (it had replied). The retired process now tells half of the rest as its most, as before it retired; connections stay frozen. The test now lets it tell its most before the answer comes: fails without the change every time, passes with it.

--- a/src/node/gatekeeper.cpp
+++ b/src/node/gatekeeper.cpp
@@ -270,14 +270,15 @@
   budget_.limit(most.bytes);
 }
 
-// Until the successor serves each may grow by half of what is left; then this one only ever holds less, but
-// for further attempts of what it holds.
+// Until the successor serves each may grow by half of what is left; then this one holds no more connections,
+// but for further attempts, and still needs room for the answers that come to what it holds.
 Holdings Gatekeeper::holdings() {
-  const auto part = [&](std::size_t held, std::size_t most) {
-    return retired_ || held > most ? held : held + (most - held) / 2;
+  const auto half = [](std::size_t held, std::size_t most) {
+    return held > most ? held : held + (most - held) / 2;
   };
-  Holdings out{part(server_.connections(), most_.clients), part(pool_.connections(), most_.workers),
-               part(budget_.held(), most_.bytes)};
+  const std::size_t clients = server_.connections(), workers = pool_.connections();
+  Holdings out{retired_ ? clients : half(clients, most_.clients),
+               retired_ ? workers : half(workers, most_.workers), half(budget_.held(), most_.bytes)};
   if (retired_) out.workers += kSparedAttempts;
   limit(out);
   return out;
--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -129,6 +129,8 @@
   untilLogged(old, "a successor serves");
   EXPECT_FALSE(std::filesystem::exists(folder + "/knowledge"));  // taken, and for this one alone
   EXPECT_TRUE(operate(next->management(), "GET", "/v1/readyz").starts_with("HTTP/1.1 200"));
+  const auto later = std::chrono::steady_clock::now() + std::chrono::milliseconds(200);
+  until([&] { return std::chrono::steady_clock::now() > later; }, "it has told what it holds at most");
   serve("00000000000000a1", "by the old one");
   until([&] { return idle->ended; }, "the old connection's end");
   EXPECT_TRUE(idle->has("by the old one"));
