Let a hundred gateways share an open cap by the load that pays, not one attempt each

Metered peaks stood at 150 to 450 %. Cause: openPart gave each gateway of a set one attempt while the meter did not tell of a full cap, so 50 to 100 at once against two; and once it told, two turns a second among 50 to 100 gateways. Now: where turns would leave most waiting, a share of the tries is let in: the load that pays under the plan's own cost of being wrong, by how well so few tries tell it, over the load asked for; a metered peak lowers it. Test: a hundred gateways with one customer at 60 tries a second, counted together; before the change over half of what they let in is beyond. Pack and Unpack, which decide nothing, move to a header of their own.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -16,6 +16,8 @@
 #include <unordered_map>
 #include <utility>
 
+#include "pack.hpp"
+
 namespace irisring {
 namespace {
 
@@ -51,6 +53,16 @@
     1;  // spreads of doubt kept from the estimate; higher: refuses with room; lower: goes past
 constexpr Time kTurn =
     1000;  // ms until what is left of an open cap goes to the next gateway; shorter: overlaps
+constexpr Time kAskedTau =
+    15000;  // ms, memory of what a customer with an open cap asks for; shorter: few tries
+constexpr double kPeakMeets = 0.35;  // times a period that a peak would be passed by the load it tells of
+constexpr double kLoadStep = 0.01;   // of attempts out, between loads that are looked at
+constexpr double kAskedDoubt =
+    0.25;  // tries that an assumed load counts for; higher: late to see a heavy one
+constexpr double kAskedUsual =
+    2;  // times the load that pays, the load of a customer that nothing is known of
+constexpr double kMostShape = 32;     // tries told apart in how well a load is known
+constexpr double kPeakShape = 3;      // tries that a metered peak tells as much as
 constexpr double kTarget = 0.6;       // of the rate, what the fraction aims at
 constexpr Time kPressedTau = 4000;    // ms, memory of how often the workers are full
 constexpr double kPressedMost = 0.8;  // higher: nothing is let in on a doubtful estimate
@@ -116,7 +128,7 @@
 constexpr int kSlots = 64;       // eight metered periods
 constexpr int kLags = kSlots - 2 * kPeriodSlots;  // slots of lag told apart
 
-constexpr double kKnowledgeForm = 1;  // another number with every change of what is handed over
+constexpr double kKnowledgeForm = 2;  // another number with every change of what is handed over
 constexpr double kHandedMost = 1024;  // customers; more: megabytes
 
 constexpr Time kNever = -1e18;
@@ -139,37 +151,6 @@
   return old + (sample - old) * (1 - std::exp(-std::max(dt, 0.0) / tau));
 }
 
-// What is handed to the next process, one number after the other; each part's `exchange` serves both ways.
-class Pack {
- public:
-  template <class... T>
-  void operator()(T&... values) {
-    (out.push_back(static_cast<double>(values)), ...);
-  }
-  std::vector<double> out;
-};
-
-class Unpack {  // of as many numbers as are asked for; one that its place cannot hold counts as 0
- public:
-  explicit Unpack(const double* from) : at_(from) {}
-  template <class... T>
-  void operator()(T&... values) {
-    (take(values), ...);
-  }
-
- private:
-  template <class T>
-  void take(T& value) {
-    using Range = std::numeric_limits<T>;
-    const double told = *at_++;
-    const double least = static_cast<double>(Range::lowest());
-    const bool fits = told >= least && (Range::is_integer ? told < std::ldexp(1.0, Range::digits)
-                                                          : told <= static_cast<double>(Range::max()));
-    value = fits ? static_cast<T>(told) : T{};
-  }
-  const double* at_;
-};
-
 // When a meter that adds up all customers at once brings out its readings: a value that has changed since the
 // answer before came out between the two, and the narrowest such spans of all customers, put over one
 // another, leave a few ms of the period.
@@ -224,6 +205,8 @@
          newsTime = 0;               // all gateways' demand as seen lately: units, and seconds they stand for
   double oldUnits = 0, oldTime = 0;  // the same over a longer memory
   double ownUse = 0, allUse = 0;     // decayed sums behind the share
+  double asked = 0, askedTime = 0;   // ms that its tries here would be out for, and ms they came in
+  Time each = 0;                     // ms that a try of an open cap is usually out for
   unsigned open = 0;                 // attempts out
   unsigned elsewhere = 0;            // and at the process before this one,
   Time elsewhereUntil = 0;           // as long as they may be
@@ -298,6 +281,11 @@
               "a plan's figure is negative or not finite");
     base_.resize(set_.classes.size(), {0, now});
     sizes_.resize(set_.classes.size() * sizes(), {0, now});
+    for (const auto& plan : set_.plans) {
+      payingLoad_.emplace_back();
+      for (double tries = 1; plan.openLimit > 0 && tries <= kMostShape; ++tries)
+        payingLoad_.back().push_back(payingLoad(plan, tries));
+    }
     for (int lag = 0; lag < kLags; ++lag)
       misfit_[static_cast<std::size_t>(lag)] = kLagDoubt * std::abs(lag - kMeterLag / slotLength());
     if (set_.askDiscovery) actions_.subscribe();
@@ -523,6 +511,7 @@
     fresh.credit = random_.next() * fresh.units;
     fresh.oldTime = share(fresh) * (now - bucketSince_) / 1000;
     fresh.newsTime = share(fresh) * std::min(kNews, now - bucketSince_) / 1000;
+    fresh.askedTime = std::min(kAskedTau, now - bucketSince_);
     // The ceiling's store lives on over restarts and evictions, so nothing is taken to be left in it but
     // what has come in since this gateway could last have sent for the customer.
     fresh.ceiling =
@@ -600,6 +589,8 @@
     const double keepNews = std::exp(-span / kNews), keep = std::exp(-span / kForget);
     c.newsUnits *= keepNews, c.newsTime = c.newsTime * keepNews + share(c) * dt;
     c.oldUnits *= keep, c.oldTime = c.oldTime * keep + share(c) * dt;
+    const double keepAsked = std::exp(-span / kAskedTau);
+    c.asked *= keepAsked, c.askedTime = c.askedTime * keepAsked + span;
     const double keepShare = std::exp(-span / kShareTau);
     c.ownUse *= keepShare, c.allUse *= keepShare;
     if (now - c.readingAt > 2 * set_.meterPeriod) {  // a gateway that lets nothing in is told nothing
@@ -619,7 +610,7 @@
     const double want = std::min(units, plan.burst);
     c.units = toward(c.units, units, 1, kUnitsKeep);
     if (plan.rate > 0 && c.tokens < want) return 1000 * (want - c.tokens) / plan.rate;
-    if (plan.openLimit > 0 && openOf(c) >= openPart(c, plan, ask.first, c.at)) return usual(ask.klass);
+    if (plan.openLimit > 0 && !openRoom(c, ask)) return usual(ask.klass);
     noteDemand(c, units, 0);
     const bool empty = plan.rate > 0 && isEmpty(c, want);
     c.in[at(c.slot)] = static_cast<float>(empty ? c.fraction : 1);
@@ -644,19 +635,80 @@
 
   static unsigned openOf(const Customer& c) { return c.open + (c.at < c.elsewhereUntil ? c.elsewhere : 0); }
 
-  // The attempts of a cap that this gateway may have out, whatever the others do. A metered peak is seconds
-  // old and a cap of a few is used up within ms, so no estimate of what they have out says which try is still
-  // under it: one sent on beyond costs more than one refused, which comes back at once. What the even parts
-  // leave is anybody's while the meter tells of a cap that is not reached; else it goes round by the clock,
-  // which all gateways read alike. Hurts where one gateway has all of such a customer's traffic.
-  unsigned openPart(const Customer& c, const PlanSettings& plan, unsigned first, Time now) const {
-    const unsigned even = plan.openLimit / c.setSize, rest = plan.openLimit % c.setSize;
-    if (rest == 0) return even;
-    const bool reached = c.reading >= 100 && now - c.readingAt <= kClimb;
-    if (!reached) return even + 1;
-    const unsigned place = (set_.self + set_.gateways - first % set_.gateways) % set_.gateways;
-    const auto turn = static_cast<std::uint64_t>(std::max(0.0, now) / kTurn);
-    return even + ((place + turn) % c.setSize < rest ? 1 : 0);
+  // What all gateways together may have out of a customer, on average, so that one more earns most: each that
+  // finds the cap free pays its worth, each beyond costs. What is out varies as chance has it, and what the
+  // customer asks for is known as well as so many tries tell it: the less they are, the less may be let in.
+  static double payingLoad(const PlanSettings& plan, double tries) {
+    const double cost = std::max(0.0, plan.overCost - plan.overWorth);
+    const auto gain = [&](double load) {
+      const double odds = load / tries, chance = odds / (1 + odds);
+      double term = std::pow(1 - chance, tries + 1), under = 0;
+      for (unsigned out = 0; out < plan.openLimit; ++out) {
+        under += term;
+        term *= chance * (tries + 1 + out) / (out + 1);
+      }
+      return load * ((1 + cost) * under - cost);
+    };
+    double load = 0;
+    while (load < plan.openLimit && gain(load + kLoadStep) > gain(load)) load += kLoadStep;
+    return load;
+  }
+
+  double payingLoad(unsigned plan, double tries) const {
+    return payingLoad_[plan][static_cast<std::size_t>(std::clamp(std::round(tries), 1.0, kMostShape)) - 1];
+  }
+
+  // The share of a customer's tries that may be let in under its cap. Where many gateways serve it each meets
+  // it seldom and knows of no attempt but its own, so what holds the cap is how much all let in: the paying
+  // load over what it asks for, which its tries here tell, times the size of its set. One that nothing is
+  // known of is held to ask for more than what pays, since most tries come from those that do. Hurts the
+  // tries of a light customer, which then come a second time.
+  double openChance(const Customer& c, Time each) const {
+    const double tries = c.asked / each + kAskedDoubt;
+    const double usualLoad = kAskedUsual * payingLoad(c.plan, kMostShape);
+    const double load = tries / (c.askedTime / each / c.setSize + kAskedDoubt / usualLoad);
+    return std::min(1.0, payingLoad(c.plan, tries) / load);
+  }
+
+  // A metered peak tells what all gateways had out on average, by how many chance makes meet in one period;
+  // over the share of tries that were let in it is what the customer asked them all for.
+  void readPeak(Customer& c, long end, double peak) {
+    const Time each = c.each;
+    if (peak < 0.5 || each <= 0) return;
+    double load = kLoadStep;
+    const auto meets = [&] {
+      return std::exp((peak + 1) * std::log(load) - load - std::lgamma(peak + 1)) * set_.meterPeriod / each;
+    };
+    while (load < peak && meets() < kPeakMeets) load += kLoadStep;
+    const double in = overPeriod(c.in, end) / kPeriodSlots;
+    c.fraction = std::clamp(in * payingLoad(c.plan, kPeakShape) / load, kFractionFloor, 1.0);
+  }
+
+  // Whether one more attempt of a customer may be out under its open cap. Of what the others have out nothing
+  // tells in time: a metered peak is seconds old and a cap of a few is used up within ms, and one sent on
+  // beyond costs more than one refused, which comes back at once. So each gateway keeps to its even part of
+  // the cap. What those leave is anybody's while the meter tells of a cap that is not reached; else it goes
+  // round by the clock, which all gateways read alike. Where so many serve the customer that most would wait
+  // for their turn in vain, chance decides instead.
+  bool openRoom(Customer& c, const Request& ask) {
+    const PlanSettings& plan = set_.plans[c.plan];
+    const unsigned even = plan.openLimit / c.setSize, rest = plan.openLimit % c.setSize, out = openOf(c);
+    if (rest > 0 && 2 * rest < c.setSize) return openByChance(c, usual(ask.klass, ask.units)) && out <= even;
+    if (out != even || rest == 0) return out < even;
+    const bool reached = c.reading >= 100 && c.at - c.readingAt <= kClimb;
+    if (!reached) return true;
+    const unsigned place = (set_.self + set_.gateways - ask.first % set_.gateways) % set_.gateways;
+    const auto turn = static_cast<std::uint64_t>(std::max(0.0, c.at) / kTurn);
+    return (place + turn) % c.setSize < rest;
+  }
+
+  bool openByChance(Customer& c, Time each) {
+    c.asked += each;
+    c.each = toward(c.each, each, 1, kUnitsKeep);
+    const auto chance = static_cast<float>(std::min(openChance(c, each), c.fraction));
+    if (c.at <= c.bornAt) c.in.fill(chance);
+    c.in[at(c.slot)] = chance;
+    return random_.next() < chance;
   }
 
   void debit(Customer& c, double units) {
@@ -721,8 +773,8 @@
     c.readingAt = now;
     fill(c, now);
     const PlanSettings& plan = set_.plans[c.plan];
-    if (plan.rate <= 0) return;
     const long out = std::lround((beat_.known() ? beat_.before(now) : now) / slotLength());
+    if (plan.rate <= 0) return readPeak(c, out - lag(), percent / 100.0 * plan.openLimit);
     const double metered = percent / 100.0 * plan.rate * set_.meterPeriod / 1000;
     if (beat_.known()) learnLag(c, out, metered);
     settleOthers(c, now, out - lag(), metered);
@@ -1118,7 +1170,7 @@
   void exchange(Archive& a, Customer& c) {
     a(c.id, c.plan, c.setSize, c.at, c.tokens, c.store, c.ceiling, c.fraction, c.reading, c.readingAt);
     a(c.readingGap, c.lookedAt, c.bornAt, c.toldTo, c.credit, c.units, c.newsUnits, c.newsTime, c.oldUnits);
-    a(c.oldTime, c.ownUse, c.allUse, c.open, c.slot);
+    a(c.oldTime, c.ownUse, c.allUse, c.open, c.slot, c.asked, c.askedTime, c.each);
     for (long i = c.slot - kSlots + 1; i <= c.slot; ++i) a(c.sent[at(i)], c.taken[at(i)], c.in[at(i)]);
   }
 
@@ -1204,11 +1256,12 @@
   std::unordered_map<WorkerId, Return> returned_;
   std::unordered_map<RequestId, Held> held_;
   std::unordered_map<std::uint64_t, Flight> out_;
-  std::vector<Usual> base_, sizes_;     // latency of each class, and of each size in it
-  Beat beat_;                           // of the meter
-  std::array<double, kLags> misfit_{};  // own use over the metered one, by the lag held against it
-  Time noneToldAt_ = kNever;            // the last answer without a reading, before any came
-  bool told_ = false;                   // any reading has come
+  std::vector<Usual> base_, sizes_;              // latency of each class, and of each size in it
+  std::vector<std::vector<double>> payingLoad_;  // of each plan with an open cap, by the tries behind it
+  Beat beat_;                                    // of the meter
+  std::array<double, kLags> misfit_{};           // own use over the metered one, by the lag held against it
+  Time noneToldAt_ = kNever;                     // the last answer without a reading, before any came
+  bool told_ = false;                            // any reading has come
   Time bucketSince_, ceilingSince_;
   unsigned inFlight_ = 0;  // attempts out, at all workers
   double mostOut_ = 0;     // the most of late, as of mostOutAt_
--- a/tests/quota_test.cpp
+++ b/tests/quota_test.cpp
@@ -195,6 +195,66 @@
   for (const unsigned self : {3u, 0u, 1u}) EXPECT_EQ(turns[self], 8) << self;
 }
 
+// A hundred gateways serve one customer whose cap on attempts out is two. Counts, over all of them, its tries
+// let in and those of them that found the cap used up.
+struct Crowd {
+  int tries = 0, in = 0, beyond = 0;
+};
+Crowd crowdAtACap(double triesPerSecond) {
+  constexpr Time kServed = 200;
+  Settings s = settings();
+  s.gateways = 100;
+  s.plans[1].overCost = 1.2;
+  std::list<Bench> gateways;
+  for (s.self = 0; s.self < s.gateways; ++s.self) {
+    gateways.emplace_back(s, 100000, s.self + 1);
+    gateways.back().list(fleet());
+  }
+  struct Out {
+    Time until;
+    Bench* at;
+    RequestId id;
+  };
+  std::list<Out> out;
+  std::map<long, int> peaks;  // of each second
+  std::uint64_t random = 1;
+  Crowd crowd;
+  for (Time now = 100000; now < 125000; now += 1000 / triesPerSecond) {
+    while (!out.empty() && out.front().until <= now) {
+      const Out ended = out.front();
+      out.pop_front();
+      ended.at->now = ended.until;
+      const long told = static_cast<long>((ended.until - 800) / 1000) - 1;
+      ended.at->end(ended.id, Result::ok, kServed, told < 100 ? -1 : 50 * peaks[told]);
+    }
+    random = random * 6364136223846793005u + 1442695040888963407u;
+    Bench& b = *std::next(gateways.begin(), static_cast<long>((random >> 33) % s.gateways));
+    b.now = now;
+    const RequestId id = b.ask(0, 1, 1, 1, 100);
+    ++crowd.tries;
+    if (!b.wasSent(id)) continue;
+    ++crowd.in;
+    crowd.beyond += out.size() >= s.plans[1].openLimit;
+    out.push_back({now + kServed, &b, id});
+    int& peak = peaks[static_cast<long>(now / 1000)];
+    peak = std::max(peak, static_cast<int>(out.size()));
+  }
+  return crowd;
+}
+
+TEST(Quota, AHundredGatewaysHoldTheCapOfOneThatAsksForManyTimesIt) {
+  const Crowd crowd = crowdAtACap(60);
+  EXPECT_GT(crowd.in, 50);
+  EXPECT_LT(crowd.beyond, crowd.in / 3) << crowd.in;
+}
+
+// A cap of two attempts of 200 ms bears ten tries a second at the very most.
+TEST(Quota, AHundredGatewaysServeOneThatKeepsToItsCap) {
+  const Crowd crowd = crowdAtACap(2);
+  EXPECT_GT(crowd.in, crowd.tries / 6);
+  EXPECT_LT(crowd.beyond, crowd.in / 10);
+}
+
 TEST(Quota, OneOffCustomersDoNotBringAHeavyOneBackRefilled) {
   Settings s = settings();
   s.plans[0].rate = 0.001;
--- a/tests/recorder.hpp
+++ b/tests/recorder.hpp
@@ -79,8 +79,8 @@
 
 class Bench {  // one gateway with its recorder
  public:
-  explicit Bench(const Settings& s = settings(), Time start = 0)
-      : now(start), gateway(s, 7, start, recorder) {}
+  explicit Bench(const Settings& s = settings(), Time start = 0, std::uint64_t salt = 7)
+      : now(start), gateway(s, salt, start, recorder) {}
 
   void list(const std::vector<Member>& members, ListKind kind = ListKind::full) {
     gateway.members(now, kind, members);
