Spread the fleet's calls on discovery over a span that grows with the gatekeepers told of

The 70 restarted gatekeepers never have another list than the one they were started with, while all loan servers are replaced: 2,700 of 11,000 attempts are refused connections. Discovery bears about 20 empty answers a second, 8 with a list; each second 20 to 25 calls wait 2 s in its line and fail, 25 to 140 find the line full. Cause: src/node/discovery.cpp, Watch::again: waits of 50 ms doubled to 500 ms, alike at all, whoever refuses; and every start calls at once. Ruled out: a dead agent (it answers within 2 ms); jitter and a longer wait from the first refusal alone (tried: 12 calls a second, still all late, since the line stays full of dead ones). Now: a start that has a list, and a try after a 503, come at any time within 80 ms for each gatekeeper told of, doubled twice at most after refusals; all waits are drawn from the gatekeeper's seed. A broken or silent agent is asked again as soon as before. With three gatekeepers the span is 0.24 s. Test: fifty watches beside one that stands for time passing; both fail without the change.

--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -6,6 +6,7 @@
 #include <cstdio>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <random>
 #include <stdexcept>
 
 #include "node/config.hpp"
@@ -19,7 +20,8 @@
 using namespace std::chrono_literals;
 
 constexpr auto kConnectWithin = 1000ms;
-constexpr auto kBackoffFirst = 50ms;
+constexpr std::chrono::milliseconds kBackoffFirst = 50ms;
+constexpr int kMostSpreads = 4;
 constexpr std::size_t kMostLine = std::size_t{8} << 20;
 
 irisring::Phase phaseOf(const std::string& lifecycle) {
@@ -69,8 +71,21 @@
   }
 
  public:
-  Watch(asio::io_context& io, const tcp::endpoint& agent, long long from, const Limits& limits, Told told)
-      : socket_(io), timer_(io), agent_(agent), limits_(limits), generation_(from), told_(std::move(told)) {}
+  Watch(asio::io_context& io, const tcp::endpoint& agent, long long from, std::uint64_t seed,
+        const Limits& limits, Told told)
+      : socket_(io),
+        timer_(io),
+        agent_(agent),
+        limits_(limits),
+        generation_(from),
+        told_(std::move(told)),
+        random_(seed),
+        refused_(limits.spread) {}
+
+  void begin() {
+    if (generation_ < 0) return open();
+    waitWithin(limits_.spread);
+  }
 
   void open() {
     if (stopped_) return;
@@ -128,8 +143,9 @@
   void take() {
     Error error;
     const bool done = feed(*parser_, in_, error);
-    if (error || (parser_->is_header_done() && parser_->get().result() != http::status::ok))
-      return again("odd answer");
+    const bool answered = !error && parser_->is_header_done();
+    if (answered && parser_->get().result() == http::status::service_unavailable) return refused();
+    if (error || (answered && parser_->get().result() != http::status::ok)) return again("odd answer");
     line_ += parser_->get().body();
     parser_->get().body().clear();
     try {
@@ -152,21 +168,37 @@
       const Roster roster = parseRoster(line);
       generation_ = roster.generation;
       backoff_ = kBackoffFirst;
+      refused_ = limits_.spread;
       told_(roster);
       if (stopped_) return;
     }
     line_.erase(0, from);
   }
 
+  void refused() {
+    again("refused", std::max(refused_, kBackoffFirst));
+    refused_ = std::min(2 * refused_, kMostSpreads * limits_.spread);
+  }
+
   void again(const char* why) {
+    again(why, backoff_);
+    backoff_ = std::min(2 * backoff_, limits_.backoffMost);
+  }
+
+  void again(const char* why, std::chrono::milliseconds most) {
     ++round_;
     Error ignored;
     socket_.close(ignored);
     if (stopped_) return;
     if (why != lastWhy_) std::fprintf(stderr, "burlwind: discovery: %s, trying again\n", why);
     lastWhy_ = why;
-    timer_.expires_after(backoff_);
-    backoff_ = std::min(2 * backoff_, limits_.backoffMost);
+    waitWithin(most);
+  }
+
+  // Opens the next watch at any time within a span, so that those that failed together ask one by one.
+  void waitWithin(std::chrono::milliseconds most) {
+    std::uniform_int_distribution<std::chrono::milliseconds::rep> any(0, most.count());
+    timer_.expires_after(std::chrono::milliseconds(any(random_)));
     timer_.async_wait(guard([this](const Error& error, std::size_t) {
       if (!error) open();
     }));
@@ -181,17 +213,18 @@
   beast::flat_buffer in_;
   std::string out_, line_;
   std::optional<http::response_parser<http::string_body>> parser_;
-  std::chrono::milliseconds backoff_ = kBackoffFirst;
+  std::mt19937_64 random_;
+  std::chrono::milliseconds backoff_ = kBackoffFirst, refused_;
   std::string_view lastWhy_;
   unsigned round_ = 0;
   bool stopped_ = false;
 };
 
-Discovery::Discovery(asio::io_context& io, const tcp::endpoint& agent, long long from, const Limits& limits,
-                     Told told)
-    : watch_(std::make_shared<Watch>(io, agent, from, limits, std::move(told))) {}
+Discovery::Discovery(asio::io_context& io, const tcp::endpoint& agent, long long from, std::uint64_t seed,
+                     const Limits& limits, Told told)
+    : watch_(std::make_shared<Watch>(io, agent, from, seed, limits, std::move(told))) {}
 Discovery::~Discovery() { stop(); }
-void Discovery::start() { watch_->open(); }
+void Discovery::start() { watch_->begin(); }
 void Discovery::stop() { watch_->stop(); }
 
 }  // namespace burlwind
--- a/src/node/discovery.hpp
+++ b/src/node/discovery.hpp
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -41,11 +42,16 @@
     // watch.
     std::chrono::milliseconds silence{4500};
     std::chrono::milliseconds backoffMost{500};  // between tries; the agent is on this machine
+    // The service behind the agent answers so many calls a second of the whole fleet and no more; those that
+    // find its line full wait in vain and keep it full. So a start that has a list already, and a try after
+    // one that was refused, comes at any time within this span, doubled twice at most.
+    std::chrono::milliseconds spread{0};
   };
 
-  // `from`: the version that is known already, or below 0.
+  // `from`: the version that is known already, or below 0. `seed`: of the waits between tries, which
+  // gatekeepers that fail together must not spend together.
   Discovery(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& agent, long long from,
-            const Limits& limits, Told told);
+            std::uint64_t seed, const Limits& limits, Told told);
   ~Discovery();
   void start();
   void stop();
--- a/src/node/gatekeeper.cpp
+++ b/src/node/gatekeeper.cpp
@@ -30,7 +30,9 @@
 constexpr std::size_t kLeastBytes = 2 << 20;
 constexpr std::size_t kLeastConnections = 8;
 constexpr std::size_t kSparedAttempts = 4;
-constexpr Time kKeepReturns = 600000;      // ms; a worker is warm long before
+constexpr Time kKeepReturns = 600000;  // ms; a worker is warm long before
+constexpr std::chrono::milliseconds kCallSpread =
+    80ms;                                  // for each gatekeeper of the fleet; shorter: all fail
 constexpr auto kFollowState = 100ms;       // an operator's call at the other process binds here 1 s later
 constexpr double kIdleShare = 0.8;         // of the time that a worker keeps an idle connection
 constexpr auto kAcceptAfterTerm = 500ms;   // connections go on coming for up to 400 ms after SIGTERM
@@ -162,8 +164,10 @@
 }
 
 void Gatekeeper::watch(const asio::ip::tcp::endpoint& agent, long long from) {
+  Discovery::Limits limits;
+  limits.spread = kCallSpread * config_.settings.gateways;
   discovery_ = std::make_unique<Discovery>(
-      io_, agent, from, Discovery::Limits{},
+      io_, agent, from, config_.seed, limits,
       [this](const Roster& roster) { told(roster, roster.reset ? ListKind::full : ListKind::delta); });
 }
 
--- /dev/null
+++ b/tests/discovery_test.cpp
@@ -0,0 +1,63 @@
+// Discovery as a whole fleet calls on it: it answers only so many a second of all gatekeepers together.
+#include "node/discovery.hpp"
+
+#include <list>
+#include <set>
+
+#include "loopback.hpp"
+
+namespace burlwind::test {
+namespace {
+
+using namespace std::chrono_literals;
+
+class Calls : public Loopback {
+ protected:
+  // A fleet whose calls spread over an hour stands still for as long as any test lasts.
+  static Discovery::Limits anHour() {
+    Discovery::Limits out;
+    out.spread = 1h;
+    return out;
+  }
+  void startAll(long long from) {
+    for (std::uint64_t seed = 1; seed <= 50; ++seed)
+      fleet.emplace_back(io, registry.address(), from, seed, anHour(), [](const Roster&) {});
+    for (Discovery& each : fleet) each.start();
+  }
+  void refuseAll() {
+    for (const PeerPtr& peer : registry.peers)
+      if (peer->count("\r\n\r\n") == 1 && refused.insert(peer).second) {
+        peer->send("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+        peer->end();
+      }
+  }
+
+  Listener registry{io};
+  std::list<Discovery> fleet;
+  std::set<PeerPtr> refused;
+};
+
+TEST_F(Calls, StartsThatHaveAListDoNotAskAllAtOnce) {
+  startAll(3);
+  Discovery blank(io, registry.address(), -1, 1, anHour(), [](const Roster&) {});
+  blank.start();
+  until([&] { return registry.count("watch=1 HTTP/1.1\r\n") == 1; }, "the call of the one without a list");
+  EXPECT_EQ(registry.peers.size(), 1u);
+}
+
+TEST_F(Calls, ThoseRefusedTogetherDoNotComeAgainTogether) {
+  startAll(-1);
+  until([&] { return registry.count("\r\n\r\n") == 50; }, "all calls");
+  refuseAll();
+  // One whose waits are the shortest there are comes several times meanwhile.
+  Discovery other(io, registry.address(), 7, 1, Discovery::Limits{}, [](const Roster&) {});
+  other.start();
+  for (std::size_t times = 1; times <= 6; ++times) {
+    until([&] { return registry.count("from=7 ") == times; }, "a further call");
+    refuseAll();
+  }
+  EXPECT_EQ(registry.count("watch=1 HTTP/1.1\r\n"), 50u);
+}
+
+}  // namespace
+}  // namespace burlwind::test
--- a/tests/reload_test.cpp
+++ b/tests/reload_test.cpp
@@ -75,7 +75,7 @@
 TEST_F(Reload, ASilentWatchIsOpenedAgain) {
   Discovery::Limits limits;
   limits.silence = 50ms;
-  Discovery watch(io, first.address(), 3, limits, [](const Roster&) {});
+  Discovery watch(io, first.address(), 3, 1, limits, [](const Roster&) {});
   watch.start();
   until([&] { return first.count("watch=1&from=3 HTTP/1.1\r\n") >= 2; }, "another watch");
 }
