Ask discovery at a start at once again, and spread only what it refuses or ends

What an instance has not asked for counts as told; a call that failed does not, for four times askWithin. Now a start asks at once.

--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -21,7 +21,7 @@
 
 constexpr auto kConnectWithin = 1000ms;
 constexpr std::chrono::milliseconds kBackoffFirst = 50ms;
-constexpr int kMostSpreads = 4;
+constexpr int kMostSpreads = 2;
 constexpr std::size_t kMostLine = std::size_t{8} << 20;
 
 irisring::Phase phaseOf(const std::string& lifecycle) {
@@ -82,11 +82,6 @@
         random_(seed),
         refused_(limits.spread) {}
 
-  void begin() {
-    if (generation_ < 0) return open();
-    waitWithin(limits_.spread);
-  }
-
   void open() {
     if (stopped_) return;
     ++round_;
@@ -144,7 +139,7 @@
     Error error;
     const bool done = feed(*parser_, in_, error);
     const bool answered = !error && parser_->is_header_done();
-    if (answered && parser_->get().result() == http::status::service_unavailable) return refused();
+    if (answered && parser_->get().result() == http::status::service_unavailable) return refused("refused");
     if (error || (answered && parser_->get().result() != http::status::ok)) return again("odd answer");
     line_ += parser_->get().body();
     parser_->get().body().clear();
@@ -155,7 +150,7 @@
       generation_ = -1;  // the whole list mends what this line would have changed
       return again("malformed");
     }
-    if (done || line_.size() > kMostLine) return again("ended");
+    if (done || line_.size() > kMostLine) return refused("ended");
     read();
   }
 
@@ -175,8 +170,8 @@
     line_.erase(0, from);
   }
 
-  void refused() {
-    again("refused", std::max(refused_, kBackoffFirst));
+  void refused(const char* why) {
+    again(why, std::max(refused_, kBackoffFirst));
     refused_ = std::min(2 * refused_, kMostSpreads * limits_.spread);
   }
 
@@ -224,7 +219,7 @@
                      const Limits& limits, Told told)
     : watch_(std::make_shared<Watch>(io, agent, from, seed, limits, std::move(told))) {}
 Discovery::~Discovery() { stop(); }
-void Discovery::start() { watch_->begin(); }
+void Discovery::start() { watch_->open(); }
 void Discovery::stop() { watch_->stop(); }
 
 }  // namespace burlwind
--- a/src/node/discovery.hpp
+++ b/src/node/discovery.hpp
@@ -43,8 +43,9 @@
     std::chrono::milliseconds silence{4500};
     std::chrono::milliseconds backoffMost{500};  // between tries; the agent is on this machine
     // The service behind the agent answers so many calls a second of the whole fleet and no more; those that
-    // find its line full wait in vain and keep it full. So a start that has a list already, and a try after
-    // one that was refused, comes at any time within this span, doubled twice at most.
+    // find its line full wait in vain and keep it full. So a try after one that it has refused or ended comes
+    // at any time within this span, and then twice as long. A start asks at once: what it has not asked for
+    // counts as told.
     std::chrono::milliseconds spread{0};
   };
 
