Ask for a list that came broken within the fleet's span, not all together

A line that makes no sense sent to all gatekeepers at once brought all of them back within 50 ms, each for the whole list (Watch::takeLines' catch, which took the wait of a broken agent). It now waits as after a refusal; the old list stays in force meanwhile. Test: fifty watches, all back at once before the change.

--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -148,7 +148,7 @@
     } catch (const std::runtime_error& wrong) {
       std::fprintf(stderr, "burlwind: %s\n", wrong.what());
       generation_ = -1;  // the whole list mends what this line would have changed
-      return again("malformed");
+      return refused("malformed");
     }
     if (done || line_.size() > kMostLine) return refused("ended");
     read();
--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -24,14 +24,26 @@
       fleet.emplace_back(io, registry.address(), from, seed, anHour(), [](const Roster&) {});
     for (Discovery& each : fleet) each.start();
   }
-  void refuseAll() {
+  void refuseAll(const std::string& with =
+                     "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n") {
     for (const PeerPtr& peer : registry.peers)
       if (peer->count("\r\n\r\n") == 1 && refused.insert(peer).second) {
-        peer->send("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+        peer->send(with);
         peer->end();
       }
   }
 
+  // One whose waits are the shortest there are comes several times meanwhile.
+  void expectNoneComesAgain() {
+    Discovery other(io, registry.address(), 7, 1, Discovery::Limits{}, [](const Roster&) {});
+    other.start();
+    for (std::size_t times = 1; times <= 6; ++times) {
+      until([&] { return registry.count("from=7 ") == times; }, "a further call");
+      refuseAll();
+    }
+    EXPECT_EQ(registry.count("watch=1 HTTP/1.1\r\n"), 50u);
+  }
+
   Listener registry{io};
   std::list<Discovery> fleet;
   std::set<PeerPtr> refused;
@@ -41,14 +53,14 @@
   startAll(-1);
   until([&] { return registry.count("\r\n\r\n") == 50; }, "all calls");
   refuseAll();
-  // One whose waits are the shortest there are comes several times meanwhile.
-  Discovery other(io, registry.address(), 7, 1, Discovery::Limits{}, [](const Roster&) {});
-  other.start();
-  for (std::size_t times = 1; times <= 6; ++times) {
-    until([&] { return registry.count("from=7 ") == times; }, "a further call");
-    refuseAll();
-  }
-  EXPECT_EQ(registry.count("watch=1 HTTP/1.1\r\n"), 50u);
+  expectNoneComesAgain();
+}
+
+TEST_F(Calls, ThoseThatGetABrokenListDoNotComeAgainTogether) {
+  startAll(-1);
+  until([&] { return registry.count("\r\n\r\n") == 50; }, "all calls");
+  refuseAll(kWatchHead + chunk("{\"generation\":\n"));
+  expectNoneComesAgain();
 }
 
 }  // namespace
