--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -8,7 +8,6 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
-#include <limits>
 #include <list>
 #include <map>
 #include <optional>
--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -21,7 +21,7 @@
 
 constexpr auto kConnectWithin = 1000ms;
 constexpr std::chrono::milliseconds kBackoffFirst = 50ms;
-constexpr int kMostSpreads = 2;
+constexpr int kMostSpreads = 2;  // longer: a gatekeeper goes by an old list
 constexpr std::size_t kMostLine = std::size_t{8} << 20;
 
 irisring::Phase phaseOf(const std::string& lifecycle) {
@@ -170,30 +170,21 @@
     line_.erase(0, from);
   }
 
-  void refused(const char* why) {
-    again(why, std::max(refused_, kBackoffFirst));
-    refused_ = std::min(2 * refused_, kMostSpreads * limits_.spread);
-  }
-
-  void again(const char* why) {
-    again(why, backoff_);
-    backoff_ = std::min(2 * backoff_, limits_.backoffMost);
-  }
+  void refused(const char* why) { again(why, refused_, kMostSpreads * limits_.spread); }
+  void again(const char* why) { again(why, backoff_, limits_.backoffMost); }
 
-  void again(const char* why, std::chrono::milliseconds most) {
+  // The next watch opens at any time within the wait, so that those that failed together ask one by one.
+  void again(const char* why, std::chrono::milliseconds& wait, std::chrono::milliseconds most) {
     ++round_;
     Error ignored;
     socket_.close(ignored);
     if (stopped_) return;
     if (why != lastWhy_) std::fprintf(stderr, "burlwind: discovery: %s, trying again\n", why);
     lastWhy_ = why;
-    waitWithin(most);
-  }
-
-  // Opens the next watch at any time within a span, so that those that failed together ask one by one.
-  void waitWithin(std::chrono::milliseconds most) {
-    std::uniform_int_distribution<std::chrono::milliseconds::rep> any(0, most.count());
+    std::uniform_int_distribution<std::chrono::milliseconds::rep> any(0,
+                                                                      std::max(wait, kBackoffFirst).count());
     timer_.expires_after(std::chrono::milliseconds(any(random_)));
+    wait = std::min(2 * wait, most);
     timer_.async_wait(guard([this](const Error& error, std::size_t) {
       if (!error) open();
     }));
--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -19,10 +19,11 @@
     out.spread = 1h;
     return out;
   }
-  void startAll(long long from) {
+  void allCall() {
     for (std::uint64_t seed = 1; seed <= 50; ++seed)
-      fleet.emplace_back(io, registry.address(), from, seed, anHour(), [](const Roster&) {});
+      fleet.emplace_back(io, registry.address(), -1, seed, anHour(), [](const Roster&) {});
     for (Discovery& each : fleet) each.start();
+    until([&] { return registry.count("\r\n\r\n") == 50; }, "all calls");
   }
   void refuseAll(const std::string& with =
                      "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n") {
@@ -50,15 +51,13 @@
 };
 
 TEST_F(Calls, ThoseRefusedTogetherDoNotComeAgainTogether) {
-  startAll(-1);
-  until([&] { return registry.count("\r\n\r\n") == 50; }, "all calls");
+  allCall();
   refuseAll();
   expectNoneComesAgain();
 }
 
 TEST_F(Calls, ThoseThatGetABrokenListDoNotComeAgainTogether) {
-  startAll(-1);
-  until([&] { return registry.count("\r\n\r\n") == 50; }, "all calls");
+  allCall();
   refuseAll(kWatchHead + chunk("{\"generation\":\n"));
   expectNoneComesAgain();
 }
--- a/tests/quota_test.cpp
+++ b/tests/quota_test.cpp
@@ -195,6 +195,30 @@
   for (const unsigned self : {3u, 0u, 1u}) EXPECT_EQ(turns[self], 8) << self;
 }
 
+// All the gateways of the settings, each before the whole fleet of workers, and one of them at chance.
+class Gateways {
+ public:
+  explicit Gateways(Settings s) {
+    for (s.self = 0; s.self < s.gateways; ++s.self) {
+      all_.emplace_back(s, 100000, s.self + 1);
+      all_.back().list(fleet());
+    }
+  }
+  std::uint64_t draw() {
+    random_ = random_ * 6364136223846793005u + 1442695040888963407u;
+    return random_ >> 33;
+  }
+  Bench& any(Time now) {
+    Bench& b = *std::next(all_.begin(), static_cast<long>(draw() % all_.size()));
+    b.now = now;
+    return b;
+  }
+
+ private:
+  std::list<Bench> all_;
+  std::uint64_t random_ = 1;
+};
+
 // A hundred gateways serve one customer whose cap on attempts out is two. Counts, over all of them, its tries
 // let in and those of them that found the cap used up.
 struct Crowd {
@@ -205,11 +229,7 @@
   Settings s = settings();
   s.gateways = 100;
   s.plans[1].overCost = 1.2;
-  std::list<Bench> gateways;
-  for (s.self = 0; s.self < s.gateways; ++s.self) {
-    gateways.emplace_back(s, 100000, s.self + 1);
-    gateways.back().list(fleet());
-  }
+  Gateways gateways(s);
   struct Out {
     Time until;
     Bench* at;
@@ -217,7 +237,6 @@
   };
   std::list<Out> out;
   std::map<long, int> peaks;  // of each second
-  std::uint64_t random = 1;
   Crowd crowd;
   for (Time now = 100000; now < 125000; now += 1000 / triesPerSecond) {
     while (!out.empty() && out.front().until <= now) {
@@ -227,9 +246,7 @@
       const long told = static_cast<long>((ended.until - 800) / 1000) - 1;
       ended.at->end(ended.id, Result::ok, kServed, told < 100 ? -1 : 50 * peaks[told]);
     }
-    random = random * 6364136223846793005u + 1442695040888963407u;
-    Bench& b = *std::next(gateways.begin(), static_cast<long>((random >> 33) % s.gateways));
-    b.now = now;
+    Bench& b = gateways.any(now);
     const RequestId id = b.ask(0, 1, 1, 1, 100);
     ++crowd.tries;
     if (!b.wasSent(id)) continue;
@@ -261,25 +278,12 @@
   Settings s = settings();
   s.gateways = 100;
   s.plans[0].rate = 2, s.plans[0].burst = 10;
-  std::list<Bench> gateways;
-  for (s.self = 0; s.self < s.gateways; ++s.self) {
-    gateways.emplace_back(s, 100000, s.self + 1);
-    gateways.back().list(fleet());
-  }
-  std::uint64_t random = 1;
-  const auto any = [&] {
-    random = random * 6364136223846793005u + 1442695040888963407u;
-    return static_cast<long>(random >> 33);
-  };
+  Gateways gateways(s);
   int heavy = 0, light = 0, lightAsked = 0;
   for (Time now = 102000; now < 122000; now += 50) {
-    const auto ask = [&](CustomerId customer) {
-      Bench& b = *std::next(gateways.begin(), any() % 100);
-      b.now = now;
-      return served(b, 0, customer, -1, 1, 100);
-    };
+    const auto ask = [&](CustomerId customer) { return served(gateways.any(now), 0, customer, -1, 1, 100); };
     heavy += ask(1);
-    if (any() % 2 == 0) light += ask(static_cast<CustomerId>(2 + any() % 50)), ++lightAsked;
+    if (gateways.draw() % 2 == 0) light += ask(2 + gateways.draw() % 50), ++lightAsked;
   }
   EXPECT_GT(heavy, 30);
   EXPECT_LT(heavy, 100);  // a store of 10 and 2 a second for 20 s: 50
