Let both sides of the data plane read other calls and answers than the loan servers'

Cause: the whole system speaks another protocol to clients and servers over the same connections. Change: the clients' side asks its holder what a head says, answers carry their fields, the servers' side asks an AnswerReader; the operators' listener becomes a CallServer that others use too.

--- /dev/null
+++ b/src/cli/settings.hpp
@@ -0,0 +1,59 @@
+// The settings file that every process is told: checked whole, with one line on what is wrong.
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <filesystem>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace lilacmux {
+
+using Endpoint = boost::asio::ip::tcp::endpoint;
+
+// What() names the field and says what is wrong with it.
+struct SettingsError : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+struct Bounds {  // ms unless the name says seconds
+  double drainTimeoutMs = 3000;
+  double gracePeriodS = 6;
+  double ackTimeoutMs = 5000;
+  bool revocationGlobal = false;
+  double revocationMs = 5000;
+  double quotaWindowS = 5;
+  double quotaOverage = 0;
+  double quotaSlack = 0;
+};
+
+struct NodeSettings {
+  std::string name;
+  std::string address;  // IP number of the machine
+  std::string zone;
+  std::optional<Endpoint> frontend, readiness, controlPlane;
+  unsigned short firstPort = 0, lastPort = 0;  // internal, both included
+  std::vector<Endpoint> seeds;                 // control listeners
+  bool bootstrap = false;
+  unsigned memoryMb = 256;
+  unsigned descriptors = 1024;
+  std::optional<std::filesystem::path> dataDirectory;
+  Bounds bounds;
+  std::optional<Endpoint> platform;
+  double platformRatePerS = 1;
+};
+
+// Throws SettingsError.
+NodeSettings parseSettings(std::string_view json);
+NodeSettings readSettings(const std::filesystem::path& file);
+Endpoint parseAddress(std::string_view hostPort, const std::string& field);
+
+// The internal port of the control role, and that of the gateway role on the same machine.
+inline unsigned short controlPort(const NodeSettings& s) { return s.firstPort; }
+inline unsigned short gatewayPort(const NodeSettings& s) {
+  return static_cast<unsigned short>(s.firstPort + 1);
+}
+
+}  // namespace lilacmux
--- /dev/null
+++ b/src/control/change_log.hpp
@@ -0,0 +1,73 @@
+// The log that gatekeepers follow: the configuration and the servers, change by change, from a place on. Who
+// is too far behind, or comes from another epoch, starts from a snapshot.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+namespace lilacmux {
+
+// A server as the platform lists it.
+struct Instance {
+  std::string id;
+  std::string service;
+  std::string address;  // ip:port
+  std::string zone;
+  unsigned capacity = 0;
+  bool draining = false;
+  double warmupMs = 0;  // how much longer it is slow, when it was listed; not compared
+  bool operator==(const Instance& other) const {
+    return id == other.id && service == other.service && address == other.address && zone == other.zone &&
+           capacity == other.capacity && draining == other.draining;
+  }
+};
+
+void to_json(nlohmann::json& out, const Instance& instance);
+void from_json(const nlohmann::json& in, Instance& instance);
+
+class ChangeLog {
+ public:
+  static constexpr std::size_t kKept = 256;  // changes; who is further behind gets a snapshot
+
+  explicit ChangeLog(std::uint64_t epoch) : epoch_(epoch) {}
+
+  // Notes what has changed against the list before.
+  void servers(const std::vector<Instance>& list);
+  void configuration(std::uint64_t revision, std::shared_ptr<const std::string> body);
+
+  std::uint64_t epoch() const { return epoch_; }
+  std::uint64_t place() const { return first_ + changes_.size(); }
+  bool hasServers() const { return listed_; }
+  std::uint64_t revision() const { return revision_; }
+
+  struct News {
+    std::uint64_t place = 0;  // the follower goes on from here
+    bool snapshot = false;    // the servers are all there are
+    std::vector<Instance> set;
+    std::vector<std::string> gone;
+    bool servers = false;  // whether `set` and `gone` say anything
+    std::shared_ptr<const std::string> configuration;  // if newer than the follower's
+    std::uint64_t revision = 0;
+  };
+  News since(std::uint64_t epoch, std::uint64_t place, std::uint64_t revision) const;
+
+ private:
+  struct Change {
+    std::vector<Instance> set;
+    std::vector<std::string> gone;
+  };
+  const std::uint64_t epoch_;
+  std::uint64_t first_ = 1;  // the place of the oldest change kept
+  std::deque<Change> changes_;
+  std::map<std::string, Instance> servers_;
+  bool listed_ = false;
+  std::uint64_t revision_ = 0;
+  std::shared_ptr<const std::string> body_;
+};
+
+}  // namespace lilacmux
--- /dev/null
+++ b/src/control/replica.cpp
@@ -0,0 +1,385 @@
+#include "control/replica.hpp"
+
+#include <algorithm>
+
+namespace lilacmux {
+namespace {
+
+constexpr Millis kHelloEvery = 1000;
+constexpr Millis kObserverKept = 5000;
+constexpr Millis kAliveWithin = 700;  // of its last word, a member counts as there
+constexpr Millis kBallotFor = 600;
+
+}  // namespace
+
+Replica::Replica(NodeId self, const std::vector<NodeId>& seeds, bool bootstrap, std::optional<Durable> kept,
+                 const Timing& timing, Millis now, ReplicaHost& host)
+    : self_(std::move(self)),
+      seeds_(seeds),
+      timing_(timing),
+      host_(host),
+      startedAt_(now),
+      fresh_(bootstrap && !kept),
+      learning_(!bootstrap && !kept) {
+  if (kept) durable_ = std::move(*kept);
+  if (durable_.members.empty() && bootstrap) {
+    durable_.members = seeds;
+    std::sort(durable_.members.begin(), durable_.members.end());
+    keep();
+  }
+}
+
+bool Replica::isMember() const {
+  return std::binary_search(durable_.members.begin(), durable_.members.end(), self_);
+}
+
+bool Replica::keep() {
+  if (failed_) return false;
+  if (host_.store(durable_)) return true;
+  // What cannot be kept must not be promised: this node is silent from here on.
+  failed_ = true;
+  stepDown("its state cannot be stored");
+  return false;
+}
+
+Message Replica::make(Message::Kind kind) const {
+  Message out;
+  out.kind = kind;
+  out.from = self_;
+  out.epoch = durable_.record.epoch;
+  out.record = durable_.record;
+  out.dataEpoch = durable_.dataEpoch;
+  out.sequence = durable_.state.sequence;
+  return out;
+}
+
+void Replica::broadcast(const Message& message) {
+  for (const NodeId& member : durable_.members)
+    if (member != self_) host_.send(member, message);
+}
+
+// A majority, this node included, owes its loyalty until then.
+Millis Replica::leaseUntil(Millis now) const {
+  std::vector<Millis> acked{now};
+  for (const NodeId& member : durable_.members) {
+    if (member == self_) continue;
+    const auto peer = peers_.find(member);
+    acked.push_back(peer == peers_.end() ? -1e18 : peer->second.ackedSentAt);
+  }
+  std::sort(acked.rbegin(), acked.rend());
+  if (acked.size() < majority()) return -1e18;
+  return acked[majority() - 1] + timing_.lease - timing_.slack;
+}
+
+bool Replica::owes(Millis now) const {
+  if (now < heardBeat_ + timing_.lease) return true;
+  return !fresh_ && now < startedAt_ + timing_.lease;
+}
+
+// --- Events -------------------------------------------------------------------------------------------------
+
+void Replica::receive(Millis now, const Message& message) {
+  if (failed_ || message.from == self_) return;
+  switch (message.kind) {
+    case Message::Kind::hello: return onHello(now, message);
+    case Message::Kind::beat: return onBeat(now, message);
+    case Message::Kind::beatAck: return onBeatAck(now, message);
+    case Message::Kind::ask: return onAsk(now, message);
+    case Message::Kind::vote: return onVote(now, message);
+    case Message::Kind::sync: return onSync(now, message);
+    case Message::Kind::synced: return onSynced(now, message);
+    case Message::Kind::resign:
+      if (message.from != leader_) return;
+      heardBeat_ = -1e18;
+      standAfter_ = now;
+      return;
+  }
+}
+
+void Replica::tick(Millis now) {
+  if (failed_ || resigned_) return;
+  // Members say hello only while they know of no primary; others, so that the primary tells them of itself.
+  if (now - helloAt_ >= kHelloEvery && (!isMember() || (!primary_ && !owes(now)))) {
+    helloAt_ = now;
+    Message hello = make(Message::Kind::hello);
+    hello.members = durable_.members;
+    std::vector<NodeId> to = seeds_;
+    to.insert(to.end(), durable_.members.begin(), durable_.members.end());
+    std::sort(to.begin(), to.end());
+    to.erase(std::unique(to.begin(), to.end()), to.end());
+    for (const NodeId& node : to)
+      if (node != self_) host_.send(node, hello);
+  }
+  if (learning_ && now >= startedAt_ + timing_.listenFirst) learning_ = false;
+  if (!isMember()) {
+    if (now - heardBeat_ > 2 * timing_.lease) leader_.clear();
+    return;
+  }
+  primary_ ? tickPrimary(now) : tickFollower(now);
+}
+
+void Replica::onHello(Millis now, const Message& message) {
+  if (!message.members.empty() && durable_.members.empty()) {
+    durable_.members = message.members;
+    if (!keep()) return;
+  } else if (message.members.empty() && !durable_.members.empty()) {
+    Message answer = make(Message::Kind::hello);
+    answer.members = durable_.members;
+    host_.send(message.from, answer);
+  }
+  const auto& members = durable_.members;
+  if (!std::binary_search(members.begin(), members.end(), message.from)) observers_[message.from] = now;
+}
+
+void Replica::onBeat(Millis now, const Message& message) {
+  if (!isMember()) {
+    if (message.epoch < seen_) return;
+    seen_ = message.epoch;
+    leader_ = message.from;
+    heardBeat_ = now;
+    return;
+  }
+  Message answer = make(Message::Kind::beatAck);
+  answer.sentAt = message.sentAt;
+  answer.epoch = durable_.promised;
+  const bool stale = message.epoch < durable_.promised ||
+                     (message.epoch == durable_.promised && durable_.promisedTo != message.from);
+  if (stale) return host_.send(message.from, answer);
+  if (primary_) stepDown("another primary has a newer epoch");
+  leader_ = message.from;
+  heardBeat_ = now;
+  ballot_.reset();
+  standAfter_ = 0;
+  if (learning_) return;
+  if (message.epoch != durable_.record.epoch) {
+    durable_.promised = message.epoch;
+    durable_.promisedTo = message.from;
+    durable_.record = message.record;
+    if (!keep()) return;
+  }
+  answer.yes = true;
+  answer.epoch = message.epoch;
+  host_.send(message.from, answer);
+}
+
+void Replica::onBeatAck(Millis now, const Message& message) {
+  if (!primary_) return;
+  if (!message.yes) {
+    if (message.epoch > durable_.record.epoch) {
+      seen_ = std::max(seen_, message.epoch);
+      stepDown("a member has promised a newer epoch");
+      standAfter_ = now + timing_.lease;
+    }
+    return;
+  }
+  Peer& peer = peers_[message.from];
+  peer.ackedSentAt = std::max(peer.ackedSentAt, message.sentAt);
+  peer.heardAt = now;
+  peer.tookEpoch = std::max(peer.tookEpoch, message.epoch);
+  if (message.epoch == durable_.record.epoch && !settled_ && syncAt_ < ledSince_) sendSync(now);
+}
+
+void Replica::onAsk(Millis now, const Message& message) {
+  if (!isMember()) return;
+  Message answer = make(Message::Kind::vote);
+  answer.epoch = durable_.promised;
+  const bool loyal = primary_ ? now < leaseUntil(now) : owes(now);
+  if (message.epoch <= durable_.promised || loyal || learning_) return host_.send(message.from, answer);
+  if (primary_) stepDown("its lease has run out and another stands for election");
+  durable_.promised = message.epoch;
+  durable_.promisedTo = message.from;
+  if (!keep()) return;
+  ballot_.reset();
+  standAfter_ = now + timing_.lease;
+  answer.yes = true;
+  answer.epoch = message.epoch;
+  host_.send(message.from, answer);
+}
+
+void Replica::onVote(Millis now, const Message& message) {
+  if (!message.yes) seen_ = std::max(seen_, message.epoch);
+  if (!ballot_ || !message.yes || message.epoch != ballot_->epoch) return;
+  ballot_->votes[message.from] = message;
+  if (ballot_->votes.size() + 1 < majority()) return;
+  const Ballot won = std::move(*ballot_);
+  ballot_.reset();
+  if (!eligible(won.votes)) return;
+  std::uint64_t previous = durable_.record.epoch;
+  for (const auto& [from, vote] : won.votes) previous = std::max(previous, vote.record.epoch);
+  NodeId backup;
+  for (const auto& [from, vote] : won.votes) {
+    peers_[from].heardAt = now;
+    if (backup.empty() || vote.dataEpoch > won.votes.at(backup).dataEpoch) backup = from;
+  }
+  lead(now, won.epoch, previous, backup);
+}
+
+// Whether this node has all that was ever committed. A primary of the newest record that any majority knows of
+// has, and so has its backup once it was given the state in that epoch. Where that backup votes and says that
+// it never was, nothing was committed in that epoch, and the one before it counts.
+bool Replica::eligible(const std::map<NodeId, Message>& votes) const {
+  Record newest = durable_.record;
+  for (const auto& [from, vote] : votes)
+    if (vote.record.epoch > newest.epoch) newest = vote.record;
+  if (newest.epoch == 0 || durable_.dataEpoch == newest.epoch) return true;
+  const auto backup = votes.find(newest.backup);
+  const bool unused = backup != votes.end()     ? backup->second.dataEpoch < newest.epoch
+                      : newest.backup == self_ && durable_.dataEpoch < newest.epoch;
+  return unused && durable_.dataEpoch >= newest.previous;
+}
+
+void Replica::onSync(Millis now, const Message& message) {
+  const Record& record = durable_.record;
+  if (!isMember() || message.epoch != record.epoch || record.backup != self_ ||
+      record.primary != message.from || durable_.promised != record.epoch || !message.state)
+    return;
+  heardBeat_ = std::max(heardBeat_, now - timing_.beat);
+  const bool known = durable_.dataEpoch == record.epoch &&
+                     message.state->sequence <= durable_.state.sequence;
+  if (!known) {
+    durable_.state = *message.state;
+    durable_.dataEpoch = record.epoch;
+    if (!keep()) return;
+  }
+  host_.send(message.from, make(Message::Kind::synced));
+}
+
+void Replica::onSynced(Millis now, const Message& message) {
+  if (!primary_ || message.epoch != durable_.record.epoch || message.from != durable_.record.backup) return;
+  peers_[message.from].heardAt = now;
+  if (message.sequence != durable_.state.sequence) return;
+  std::size_t took = 1;
+  for (const auto& [node, peer] : peers_) took += peer.tookEpoch == durable_.record.epoch;
+  if (took < majority()) return;
+  const bool news = !committed_ || committed_->sequence != durable_.state.sequence;
+  if (!committed_) host_.log("primary in epoch " + std::to_string(durable_.record.epoch));
+  settled_ = true;
+  if (news) committed_ = std::make_shared<State>(durable_.state);
+  proposed_ = false;
+  if (news) host_.committed(*committed_);
+}
+
+// --- As a primary --------------------------------------------------------------------------------------------
+
+void Replica::lead(Millis now, std::uint64_t epoch, std::uint64_t previous, const NodeId& backup) {
+  durable_.promised = epoch;
+  durable_.promisedTo = self_;
+  durable_.record = {epoch, previous, self_, backup};
+  durable_.dataEpoch = epoch;
+  if (!keep()) return;
+  primary_ = true;
+  settled_ = false;
+  leader_ = self_;
+  ledSince_ = now;
+  syncAt_ = -1e18;
+  beatAt_ = -1e18;
+  tickPrimary(now);
+}
+
+void Replica::tickPrimary(Millis now) {
+  if (now - beatAt_ >= timing_.beat) {
+    beatAt_ = now;
+    Message beat = make(Message::Kind::beat);
+    beat.sentAt = now;
+    broadcast(beat);
+    for (auto it = observers_.begin(); it != observers_.end();) {
+      if (now - it->second > kObserverKept) {
+        it = observers_.erase(it);
+        continue;
+      }
+      host_.send(it->first, beat);
+      ++it;
+    }
+  }
+  if (now >= std::max(leaseUntil(now), ledSince_ + timing_.lease)) {
+    stepDown("no majority has answered for a lease's time");
+    standAfter_ = now + timing_.stagger;
+    return;
+  }
+  if (!settled_ && now - syncAt_ >= timing_.resync && peers_[durable_.record.backup].tookEpoch == epoch())
+    sendSync(now);
+  const Millis backupHeard = std::max(peers_[durable_.record.backup].heardAt, ledSince_);
+  if (now - backupHeard < timing_.backupSilent) return;
+  const NodeId other = chooseBackup(now);
+  if (other.empty()) return;
+  host_.log("the backup is silent: " + other + " takes its place");
+  lead(now, std::max(durable_.promised, durable_.record.epoch) + 1, durable_.record.epoch, other);
+}
+
+NodeId Replica::chooseBackup(Millis now) const {
+  NodeId best;
+  Millis heard = now - kAliveWithin;
+  for (const NodeId& member : durable_.members) {
+    const auto peer = peers_.find(member);
+    if (member == self_ || member == durable_.record.backup || peer == peers_.end()) continue;
+    if (peer->second.heardAt > heard) best = member, heard = peer->second.heardAt;
+  }
+  return best;
+}
+
+void Replica::propose(Millis now, const State& next) {
+  if (!canWrite(now)) return;
+  durable_.state = next;
+  proposed_ = true;
+  settled_ = false;
+  if (!keep()) return;
+  sendSync(now);
+}
+
+void Replica::sendSync(Millis now) {
+  syncAt_ = now;
+  Message sync = make(Message::Kind::sync);
+  sync.state = durable_.state;
+  host_.send(durable_.record.backup, sync);
+}
+
+void Replica::stepDown(const std::string& why) {
+  if (!primary_) return;
+  primary_ = settled_ = proposed_ = false;
+  committed_.reset();
+  peers_.clear();
+  leader_.clear();
+  host_.log("no longer primary: " + why);
+  host_.lostPrimacy();
+}
+
+void Replica::resign(Millis now) {
+  resigned_ = true;
+  if (!primary_) return;
+  const bool settled = settled_;
+  const Message word = make(Message::Kind::resign);
+  stepDown("it leaves");
+  (void)now;
+  if (settled) broadcast(word);
+}
+
+// --- As a follower -------------------------------------------------------------------------------------------
+
+void Replica::tickFollower(Millis now) {
+  if (owes(now) || learning_) return;
+  if (ballot_ && now - ballot_->since < kBallotFor) return;
+  if (standAfter_ <= 0) {
+    const auto place = std::lower_bound(durable_.members.begin(), durable_.members.end(), self_);
+    standAfter_ = now + timing_.stagger * static_cast<double>(place - durable_.members.begin());
+  }
+  if (now < standAfter_) return;
+  leader_.clear();
+  stand(now);
+}
+
+void Replica::stand(Millis now) {
+  if (!eligible({}) && durable_.record.backup != self_) {
+    // It may still be the only one left that has the state; the votes will tell. Others go first.
+    if (now < standAfter_ + timing_.lease) return;
+  }
+  standAfter_ = 0;
+  durable_.promised = std::max({durable_.promised, durable_.record.epoch, seen_}) + 1;
+  durable_.promisedTo = self_;
+  if (!keep()) return;
+  ballot_ = Ballot{durable_.promised, now, {}};
+  Message ask = make(Message::Kind::ask);
+  ask.epoch = durable_.promised;
+  broadcast(ask);
+}
+
+}  // namespace lilacmux
--- /dev/null
+++ b/src/control/replica.hpp
@@ -0,0 +1,173 @@
+// The control plane's replication, as a state machine: who is the primary, who its backup, and when a change
+// holds. Events in, actions out; no socket, clock or disk of its own. All times are ms of the host's steady
+// clock.
+//
+// The members are the core machines that were told at the first start. Each keeps, on disk, the newest epoch
+// that it has promised and the newest record that it has taken; a record names one epoch's primary and backup.
+// The primary writes a change to its disk and to the backup's before it counts; the other members are
+// witnesses, which keep order and epochs only. A majority of members decides on a record. A member that has
+// heard from its primary helps nobody else for `lease` ms; the primary acts only for as long as a majority
+// owes it that, so that there are never two that act.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace lilacmux {
+
+using Millis = double;
+using NodeId = std::string;  // the internal address, ip:port
+
+// What is replicated: the newest configuration, and which ones were taken before it.
+struct State {
+  std::uint64_t sequence = 0;  // of changes, over all epochs
+  std::uint64_t revision = 0;
+  std::shared_ptr<const std::string> body;             // as it was sent
+  std::map<std::uint64_t, std::uint64_t> fingerprint;  // of each body taken, by revision
+};
+
+struct Record {
+  std::uint64_t epoch = 0;
+  std::uint64_t previous = 0;  // the epoch whose state its primary started from
+  NodeId primary, backup;
+};
+
+// What must be on disk before any message that follows it leaves.
+struct Durable {
+  std::vector<NodeId> members;  // sorted; empty: not known yet
+  std::uint64_t promised = 0;
+  NodeId promisedTo;
+  Record record;
+  std::uint64_t dataEpoch = 0;  // the epoch for which `state` is complete
+  State state;
+};
+
+struct Message {
+  enum class Kind { hello, beat, beatAck, ask, vote, sync, synced, resign };
+  Kind kind = Kind::hello;
+  NodeId from;
+  std::uint64_t epoch = 0;
+  bool yes = false;
+  Record record;
+  std::uint64_t dataEpoch = 0;
+  std::uint64_t sequence = 0;
+  Millis sentAt = 0;             // beat: the sender's clock, given back by its ack
+  std::vector<NodeId> members;   // hello: as the sender knows them
+  std::optional<State> state;    // sync
+};
+
+class ReplicaHost {
+ public:
+  virtual ~ReplicaHost() = default;
+  virtual void send(const NodeId& to, const Message& message) = 0;
+  // Returns once it is safe from a loss of power; false: it is not, and the node must not go on.
+  virtual bool store(const Durable& durable) = 0;
+  virtual void committed(const State& state) = 0;  // at the primary: this change holds
+  virtual void lostPrimacy() = 0;                  // what was proposed and not committed is open
+  virtual void log(const std::string& line) = 0;
+};
+
+class Replica {
+ public:
+  struct Timing {
+    Millis beat = 250;
+    Millis lease = 1500;
+    Millis slack = 100;        // kept from the lease for the rates of clocks
+    Millis stagger = 200;      // between those who may stand for election
+    Millis backupSilent = 900;  // then another member becomes the backup
+    Millis listenFirst = 2000;  // an empty disk: only listens for so long
+    Millis resync = 400;
+  };
+
+  // `seeds`: the control nodes that were told, this one included or not. `bootstrap`: the whole system starts
+  // for the first time.
+  Replica(NodeId self, const std::vector<NodeId>& seeds, bool bootstrap, std::optional<Durable> kept,
+          const Timing& timing, Millis now, ReplicaHost& host);
+
+  void tick(Millis now);  // every 50 ms or so
+  void receive(Millis now, const Message& message);
+  // Only where canWrite(). The host is told once it has been committed, or that primacy was lost.
+  void propose(Millis now, const State& next);
+  // Going down in order: the backup may take over at once.
+  void resign(Millis now);
+
+  bool isMember() const;
+  // Whether the committed state is the newest there is, now.
+  bool mayServe(Millis now) const { return primary_ && committed_ && now < leaseUntil(now); }
+  bool canWrite(Millis now) const { return mayServe(now) && !proposed_ && settled_; }
+  const State& committed() const { return *committed_; }
+  std::uint64_t epoch() const { return durable_.record.epoch; }
+  // The node to go to, as far as this one knows; empty: none.
+  const NodeId& leader() const { return leader_; }
+  const std::vector<NodeId>& members() const { return durable_.members; }
+  const Durable& durable() const { return durable_; }
+  bool isPrimary() const { return primary_; }
+
+ private:
+  struct Peer {
+    Millis ackedSentAt = -1e18;  // when the newest beat was sent that it took in this primacy
+    Millis heardAt = -1e18;
+    std::uint64_t tookEpoch = 0;
+  };
+  struct Ballot {
+    std::uint64_t epoch = 0;
+    Millis since = 0;
+    std::map<NodeId, Message> votes;
+  };
+
+  std::size_t majority() const { return durable_.members.size() / 2 + 1; }
+  Millis leaseUntil(Millis now) const;
+  bool eligible(const std::map<NodeId, Message>& votes) const;
+  bool owes(Millis now) const;  // loyalty to a primary, or to one it may have forgotten
+  bool keep();
+  void broadcast(const Message& message);
+  Message make(Message::Kind kind) const;
+
+  void onHello(Millis now, const Message& message);
+  void onBeat(Millis now, const Message& message);
+  void onBeatAck(Millis now, const Message& message);
+  void onAsk(Millis now, const Message& message);
+  void onVote(Millis now, const Message& message);
+  void onSync(Millis now, const Message& message);
+  void onSynced(Millis now, const Message& message);
+
+  void tickPrimary(Millis now);
+  void tickFollower(Millis now);
+  void stand(Millis now);
+  void lead(Millis now, std::uint64_t epoch, std::uint64_t previous, const NodeId& backup);
+  void sendSync(Millis now);
+  void stepDown(const std::string& why);
+  NodeId chooseBackup(Millis now) const;
+
+  const NodeId self_;
+  const std::vector<NodeId> seeds_;
+  const Timing timing_;
+  ReplicaHost& host_;
+  Durable durable_;
+  const Millis startedAt_;
+  bool fresh_;     // nothing was promised before this start: there is nothing to forget
+  bool learning_;  // an empty disk in a system that runs
+  bool failed_ = false;
+  bool resigned_ = false;
+
+  std::uint64_t seen_ = 0;  // the newest epoch heard of
+  NodeId leader_;
+  Millis heardBeat_ = -1e18;
+  Millis helloAt_ = -1e18;
+  std::optional<Ballot> ballot_;
+  Millis standAfter_ = 0;
+
+  bool primary_ = false;
+  bool settled_ = false;   // the record is a majority's and the backup has the state
+  bool proposed_ = false;  // a change is on its way
+  std::shared_ptr<State> committed_;
+  std::map<NodeId, Peer> peers_;
+  std::map<NodeId, Millis> observers_;
+  Millis beatAt_ = -1e18, syncAt_ = -1e18, ledSince_ = 0;
+};
+
+}  // namespace lilacmux
--- a/src/node/client_server.cpp
+++ b/src/node/client_server.cpp
@@ -83,7 +83,7 @@
   void answer(Answer&& answer) override {
     if (state_ != State::held) return;
     http::response<http::empty_body> head(answer.status, 11);
-    if (!answer.contentType.empty()) head.set(http::field::content_type, answer.contentType);
+    take(head, answer.fields);
     if (answer.retryAfter > 0) head.set(http::field::retry_after, seconds(answer.retryAfter));
     last_ = last_ || server_.draining_ || server_.away_ || server_.retired_;
     head.keep_alive(!last_);
@@ -96,17 +96,18 @@
     write();
   }
 
-  void begin(const std::string& contentType, std::optional<std::uint64_t> length) override {
+  void begin(const AnswerHead& begun) override {
     if (state_ != State::held) return;
-    http::response<http::empty_body> head(http::status::ok, 11);
-    if (!contentType.empty()) head.set(http::field::content_type, contentType);
+    http::response<http::empty_body> head(begun.status, 11);
+    take(head, begun.fields);
+    const auto length = begun.length;
     chunked_ = !length && version_ >= 11;
     last_ = last_ || server_.draining_ || server_.away_ || server_.retired_ || (!length && !chunked_);
     head.keep_alive(!last_);
     if (length) head.content_length(*length);
     if (chunked_) head.chunked(true);
     state_ = State::streaming;
-    status_ = http::status::ok;
+    status_ = begun.status;
     append(out_, head, Written::head);
     bytes_.shrinkTo(in_.capacity());
   }
@@ -170,6 +171,10 @@
     };
   }
 
+  static void take(http::response<http::empty_body>& head, const http::fields& fields) {
+    for (const auto& field : fields) head.insert(field.name_string(), field.value());
+  }
+
   bool begun() const { return parser_ || in_.size() > 0; }
 
   void stand(Standing standing) {
@@ -255,8 +260,8 @@
       arm(server_.limits_.wholeWithin);
     }
     parser_.emplace();
-    parser_->body_limit(kMostBody);
-    parser_->header_limit(kMostHeader);
+    parser_->body_limit(server_.limits_.mostBody);
+    parser_->header_limit(static_cast<std::uint32_t>(server_.limits_.mostHeader));
   }
 
   // The head is whole. Whether the request may go on.
@@ -273,17 +278,16 @@
     return true;
   }
 
-  static bool isHealth(const ClientMessage& message) {
-    return message.target() == "/health/ready" && plainFraming(message);
+  bool isHealth(const ClientMessage& message) const {
+    return server_.holder_.asksReadiness(message) && plainFraming(message);
   }
 
   // Reads the head as one of the service, or rejects it.
   bool call(const ClientMessage& message) {
-    const auto read = readCall(message, server_.config_);
+    const auto read = server_.holder_.read(message);
     if (const auto* wrong = std::get_if<Rejection>(&read)) return reject(*wrong), false;
     call_ = std::get<Call>(read);
-    if (!server_.holder_.holds(call_->id)) return true;
-    return reject({http::status::conflict, "a request of this Req-Id is open"}), false;
+    return true;
   }
 
   // Whether there is room for a body of this size; else the client may come back.
@@ -330,6 +334,7 @@
     Answer text;
     text.status = status;
     text.body = std::string(what) + "\n";
+    text.fields = plainText();
     text.retryAfter = retryAfter;
     answer(std::move(text));
   }
@@ -405,9 +410,9 @@
   std::size_t bodyFrom_ = 0;
 };
 
-ClientServer::ClientServer(asio::io_context& io, const Config& config, const Limits& limits, Budget& budget,
-                           Figures& figures, Holder& holder)
-    : config_(config),
+ClientServer::ClientServer(asio::io_context& io, const tcp::endpoint& address, const Limits& limits,
+                           Budget& budget, Figures& figures, Holder& holder)
+    : address_(address),
       limits_(limits),
       budget_(budget),
       figures_(figures),
@@ -425,15 +430,15 @@
 void ClientServer::listen(int inherited) {
   try {
     if (inherited >= 0) {
-      acceptor_.assign(config_.listen.protocol(), inherited);
+      acceptor_.assign(address_.protocol(), inherited);
     } else {
-      acceptor_.open(config_.listen.protocol());
+      acceptor_.open(address_.protocol());
       acceptor_.set_option(tcp::acceptor::reuse_address(true));
       // Where the link to a predecessor fails, the next process still gets its place.
       acceptor_.set_option(asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>(true));
       acceptor_.set_option(tcp::acceptor::receive_buffer_size(kReceiveBuffer));  // connections inherit it
       acceptor_.set_option(tcp::acceptor::send_buffer_size(kSendBuffer));
-      acceptor_.bind(config_.listen);
+      acceptor_.bind(address_);
       acceptor_.listen();
     }
     acceptor_.non_blocking(true);
@@ -546,6 +551,8 @@
   sweepAfter(limits_.retireAfter);
 }
 
+void ClientServer::limits(const Limits& limits) { limits_ = limits; }
+
 void ClientServer::limit(std::size_t connections) {
   most_ = connections;
   accept();
--- a/src/node/client_server.hpp
+++ b/src/node/client_server.hpp
@@ -12,6 +12,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <variant>
 
 #include "node/budget.hpp"
 #include "node/call.hpp"
@@ -23,7 +24,7 @@
 struct Answer {
   http::status status = http::status::ok;
   std::string body;
-  std::string contentType = "text/plain";
+  http::fields fields;            // empty: the body is plain text
   irisring::Time retryAfter = 0;  // ms; 0: no advice
 };
 
@@ -34,7 +35,7 @@
   // The final answer, once for each request held.
   virtual void answer(Answer&& answer) = 0;
   // Or a large one: its begin, its pieces, each of which the holder is asked for, and its end.
-  virtual void begin(const std::string& contentType, std::optional<std::uint64_t> length) = 0;
+  virtual void begin(const AnswerHead& head) = 0;
   virtual void piece(std::string&& bytes) = 0;
   virtual void finish() = 0;
   virtual void breakOff() = 0;  // its end will not come: the client must see that
@@ -45,8 +46,10 @@
  public:
   virtual ~Holder() = default;
   virtual bool ready() const = 0;
-  // Whether a request that the client calls so is held.
-  virtual bool holds(std::uint64_t clientsId) const = 0;
+  // By the head alone, and once more with the body: what is asked, or why it is turned away.
+  virtual std::variant<Call, Rejection> read(const ClientMessage& head) = 0;
+  // Whether it asks for readiness, at this address.
+  virtual bool asksReadiness(const ClientMessage&) const { return false; }
   // The asker is answered once, maybe before this returns.
   virtual irisring::RequestId nextId() = 0;
   virtual void take(irisring::RequestId id, const Call& call, ClientMessage&& message,
@@ -69,6 +72,8 @@
     std::chrono::milliseconds bodyWithin{1000};
     std::size_t bodyBytesPerSecond = 32 * 1024;
     std::chrono::milliseconds writeWithin{10000};  // an answer, or a piece of a large one
+    std::size_t mostHeader = kMostHeader;
+    std::size_t mostBody = kMostBody;
     std::chrono::milliseconds lingerFor{400};
     std::size_t lingerBytes = 64 * 1024;
     // From the front's drain on new connections come until it has asked for readiness and 0.2 s more.
@@ -77,8 +82,8 @@
     std::chrono::milliseconds retireAfter{1500};
   };
 
-  ClientServer(boost::asio::io_context& io, const Config& config, const Limits& limits, Budget& budget,
-               Figures& figures, Holder& holder);
+  ClientServer(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& address, const Limits& limits,
+               Budget& budget, Figures& figures, Holder& holder);
   ~ClientServer();
   ClientServer(const ClientServer&) = delete;
   ClientServer& operator=(const ClientServer&) = delete;
@@ -88,6 +93,8 @@
   void listen(int inherited = -1);
   void start();
   int listener() { return acceptor_.is_open() ? acceptor_.native_handle() : -1; }
+  // Other limits from now on, for requests that begin.
+  void limits(const Limits& limits);
   // The most connections from now on, instead of the limits'.
   void limit(std::size_t connections);
   boost::asio::ip::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
@@ -129,8 +136,8 @@
   void finishUpAll();
   void sweepAfter(std::chrono::milliseconds span);
 
-  const Config& config_;
-  const Limits limits_;
+  const boost::asio::ip::tcp::endpoint address_;
+  Limits limits_;
   Budget& budget_;
   Figures& figures_;
   Holder& holder_;
--- a/src/node/gatekeeper.cpp
+++ b/src/node/gatekeeper.cpp
@@ -102,9 +102,10 @@
       config_(config),
       budget_(bytesOfMessages(config)),
       figures_(config.host.classes),
-      pool_(io, poolLimits(config), budget_, figures_, config.settings.reportFields, *this,
+      answers_(config.settings.reportFields),
+      pool_(io, poolLimits(config), budget_, figures_, answers_, *this,
             [this](AttemptEnd&& end) { ended(std::move(end)); }),
-      server_(io, config_, serverLimits(config), budget_, figures_, *this),
+      server_(io, config_.listen, serverLimits(config), budget_, figures_, *this),
       gateway_(config.settings, config.seed, clock_.now(), *this),
       most_{clientsSockets(config), workersSockets(config), bytesOfMessages(config)},
       handover_(io, config.folder, *this, [this](const std::string& line) { log(line); }),
@@ -322,6 +323,13 @@
 
 // --- From the clients ------------------------------------------------------------------------------------
 
+std::variant<Call, Rejection> Gatekeeper::read(const ClientMessage& head) {
+  auto out = readCall(head, config_);
+  if (const auto* call = std::get_if<Call>(&out); call && clientsIds_.contains(call->id))
+    return Rejection{http::status::conflict, "a request of this Req-Id is open"};
+  return out;
+}
+
 void Gatekeeper::take(RequestId id, const Call& call, ClientMessage&& message,
                       const std::shared_ptr<Asker>& asker) {
   const Time now = clock_.now();
@@ -382,7 +390,7 @@
   } else if (mine && outcome.result == Result::ok) {
     Answer served;
     served.body = std::move(end.body);
-    served.contentType = std::move(end.contentType);
+    served.fields = std::move(end.head->fields);
     answer(outcome.id, std::move(served));
   }
   gateway_.outcome(clock_.now(), outcome);
@@ -390,12 +398,12 @@
 
 // A large answer has begun to come: it is the request's answer, and nothing else ends the request any more
 // but its end or its client's.
-bool Gatekeeper::begun(RequestId id, const std::string& contentType, std::optional<std::uint64_t> length) {
+bool Gatekeeper::begun(RequestId id, const AnswerHead& head) {
   const auto found = held_.find(id);
   if (found == held_.end()) return false;
   found->second.streams = true;
   found->second.deadline.cancel();
-  found->second.asker->begin(contentType, length);
+  found->second.asker->begin(head);
   return true;
 }
 
@@ -483,6 +491,7 @@
   Answer refusal;
   refusal.status = http::status::too_many_requests;
   refusal.body = "refused: try again later\n";
+  refusal.fields = plainText();
   refusal.retryAfter = retryAfter;
   answer(id, std::move(refusal));
 }
@@ -491,6 +500,7 @@
   Answer failure;
   failure.status = http::status::bad_gateway;
   failure.body = "failed\n";
+  failure.fields = plainText();
   answer(id, std::move(failure));
 }
 
--- a/src/node/gatekeeper.hpp
+++ b/src/node/gatekeeper.hpp
@@ -16,6 +16,7 @@
 #include "node/handover.hpp"
 #include "node/management.hpp"
 #include "node/operators_state.hpp"
+#include "node/worker_answers.hpp"
 #include "node/worker_pool.hpp"
 
 namespace burlwind {
@@ -73,7 +74,8 @@
   };
 
   // Holder
-  bool holds(std::uint64_t clientsId) const override { return clientsIds_.contains(clientsId); }
+  std::variant<Call, Rejection> read(const ClientMessage& head) override;
+  bool asksReadiness(const ClientMessage& head) const override { return head.target() == "/health/ready"; }
   irisring::RequestId nextId() override { return ++lastId_; }
   void take(irisring::RequestId id, const Call& call, ClientMessage&& message,
             const std::shared_ptr<Asker>& asker) override;
@@ -81,8 +83,7 @@
   void left(irisring::RequestId id) override;
 
   // AnswerSink
-  bool begun(irisring::RequestId id, const std::string& contentType,
-             std::optional<std::uint64_t> length) override;
+  bool begun(irisring::RequestId id, const AnswerHead& head) override;
   void piece(irisring::RequestId id, std::string&& bytes) override;
 
   // Actions
@@ -132,6 +133,7 @@
   const ModuleClock clock_;
   Budget budget_;
   Figures figures_;
+  const WorkerAnswers answers_;
   WorkerPool pool_;
   ClientServer server_;
   std::unordered_set<irisring::WorkerId> listed_;
--- a/src/node/http.hpp
+++ b/src/node/http.hpp
@@ -10,6 +10,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <charconv>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -92,6 +93,19 @@
   return codings == 0 || beast::iequals(fields["Transfer-Encoding"], "chunked");
 }
 
+// What goes on of an answer ahead of its body.
+struct AnswerHead {
+  http::status status = http::status::ok;
+  http::fields fields;  // but for those of the connection and the body's length
+  std::optional<std::uint64_t> length;
+};
+
+inline http::fields plainText() {
+  http::fields out;
+  out.set(http::field::content_type, "text/plain");
+  return out;
+}
+
 enum class Written { whole, head };
 
 template <bool isRequest, class Body>
--- a/src/node/management.hpp
+++ b/src/node/management.hpp
@@ -3,13 +3,9 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <chrono>
-#include <list>
-#include <memory>
 #include <string>
 
-#include "node/http.hpp"
+#include "net/call_server.hpp"
 
 namespace burlwind {
 
@@ -28,35 +24,17 @@
 
 class ManagementServer {
  public:
-  struct Limits {
-    std::size_t connections = 12;                 // descriptors kept back for them
-    std::chrono::milliseconds wholeWithin{1500};  // a call, from its connection's begin
-    std::chrono::milliseconds answerWithin{1000};
-    std::chrono::milliseconds lingerFor{200};
-  };
+  using Limits = CallServer::Limits;
 
   // Throws std::runtime_error if it cannot listen.
   ManagementServer(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& address,
                    const Limits& limits, Operator& target);
-  ~ManagementServer();
-  ManagementServer(const ManagementServer&) = delete;
-  ManagementServer& operator=(const ManagementServer&) = delete;
 
-  boost::asio::ip::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
-  std::size_t connections() const { return sessions_.size(); }
+  boost::asio::ip::tcp::endpoint address() const { return calls_.address(); }
+  std::size_t connections() const { return calls_.connections(); }
 
  private:
-  class Session;
-  using Sessions = std::list<std::shared_ptr<Session>>;
-
-  void accept();
-  void add(boost::asio::ip::tcp::socket socket);
-
-  const Limits limits_;
-  Operator& operator_;
-  boost::asio::ip::tcp::acceptor acceptor_;
-  boost::asio::steady_timer pause_;
-  Sessions sessions_;  // the oldest first
+  CallServer calls_;
 };
 
 }  // namespace burlwind
--- a/src/node/worker_pool.cpp
+++ b/src/node/worker_pool.cpp
@@ -17,42 +17,10 @@
 using irisring::WorkerId;
 using Clock = std::chrono::steady_clock;
 
-constexpr double kMostFigure = 1e6;  // of a load report
-constexpr int kMostPercent = 1000000;
 constexpr unsigned kMostInterim = 8;  // 1xx answers ahead of one
 
-// The figures of `inflight=7,queue=2,util=0.61` in the settings' order; none unless all are there, each once
-// and such that it can be so. What the module takes in once stays in its means.
-std::vector<double> readReport(std::string_view text, const std::vector<std::string>& fields) {
-  std::vector<double> out(fields.size(), -1);
-  std::size_t found = 0;
-  while (!text.empty()) {
-    std::string_view value = cut(text, ',');
-    const auto field = std::find(fields.begin(), fields.end(), cut(value, '='));
-    if (field == fields.end()) continue;
-    const auto figure = number<double>(value);
-    double& place = out[static_cast<std::size_t>(field - fields.begin())];
-    if (!figure || !std::isfinite(*figure) || *figure < 0 || *figure > kMostFigure || place >= 0) return {};
-    place = *figure;
-    ++found;
-  }
-  return found == fields.size() ? out : std::vector<double>{};
-}
-
-// A header that can be read in one way only; else nothing.
-std::string_view only(const http::fields& fields, const char* name) {
-  return countOf(fields, name) == 1 ? view(fields[name]) : std::string_view{};
-}
-
 using AnswerBody = http::basic_dynamic_body<beast::flat_buffer>;
 
-Result resultOf(const http::response<AnswerBody>& answer) {
-  if (answer.result() == http::status::ok) return Result::ok;
-  const bool busy = answer.result() == http::status::service_unavailable ||
-                    answer.result() == http::status::gateway_timeout;
-  return busy && only(answer, "Srv-Declined") == "1" ? Result::full : Result::error;
-}
-
 // A want of this machine's own, which says nothing of the worker.
 bool isLocal(const Error& error) {
   using namespace boost::system;
@@ -263,21 +231,22 @@
       const bool head = feed(*parser_, in_, error, Feed::head);
       if (error || (head && !readable())) return end(Result::spoilt);
       if (head && parser_->get().result_int() < 200) return passOver();
+      if (head) verdict_ = pool_.reader_.read(parser_->get(), outcome_);
     }
     const bool done = feed(*parser_, in_, error);
     if (error) return end(streams_ ? Result::reset : Result::spoilt);
     if (streams_) return passOn();
     auto& body = parser_->get().body();
-    // Nobody reads what stands in an error.
-    if (parser_->is_header_done() && parser_->get().result() != http::status::ok) body.consume(body.size());
+    // Nobody reads what stands in an answer that does not go on.
+    if (parser_->is_header_done() && !pool_.reader_.goesOn(verdict_)) body.consume(body.size());
     if (!bytes_.growTo(body.capacity() + in_.capacity())) return end(Result::spoilt);
-    if (isLarge()) return stream();
+    if (isLarge()) return verdict_ == Result::ok ? stream() : end(Result::spoilt);
     if (done) return answered();
     read();
   }
 
   bool isLarge() const {
-    if (!parser_->is_header_done() || parser_->get().result() != http::status::ok) return false;
+    if (!parser_->is_header_done() || !pool_.reader_.goesOn(verdict_)) return false;
     const auto length = parser_->content_length();
     return parser_->get().body().size() > kMostHeldAnswer || (length && *length > kMostHeldAnswer);
   }
@@ -287,13 +256,18 @@
   void stream() {
     streams_ = true;
     giveUpAt_ = Clock::time_point::max();
-    std::optional<std::uint64_t> length;
-    if (const auto told = parser_->content_length()) length = *told;
-    const std::string type(view(parser_->get()[http::field::content_type]));
-    if (!pool_.sink_.begun(outcome_.id, type, length)) return end(Result::cancelled);
+    if (!pool_.sink_.begun(outcome_.id, headOf())) return end(Result::cancelled);
     passOn();
   }
 
+  AnswerHead headOf() const {
+    AnswerHead out;
+    out.status = parser_->get().result();
+    out.fields = pool_.reader_.fieldsOf(parser_->get());
+    if (const auto told = parser_->content_length()) out.length = *told;
+    return out;
+  }
+
   // What has come goes on as one piece, and the next is read once that is through; the read is then the only
   // thing that waits for the worker.
   void passOn() {
@@ -328,15 +302,12 @@
   void answered() {
     auto& answer = parser_->get();
     AttemptEnd whole;
-    outcome_.result = resultOf(answer);
+    outcome_.result = verdict_;
     stamp();
     if (streams_)  // what is timed is its begin; how long the rest took was the client's part too
       outcome_.elapsed = std::chrono::duration<double, std::milli>(firstByteAt_ - startedAt_).count();
-    const auto percent = number<int>(only(answer, "X-RateLimit-Used"));
-    if (percent && *percent >= 0 && *percent <= kMostPercent) outcome_.usePercent = *percent;
-    outcome_.report = readReport(only(answer, "Srv-Load"), pool_.reportFields_);
     whole.outcome = outcome_;
-    whole.contentType = std::string(view(answer[http::field::content_type]));
+    if (pool_.reader_.goesOn(verdict_)) whole.head = headOf();
     // Kept only if the exchange was a whole and ordinary one: nothing of it is left on either side.
     const bool good = !writing_ && !eof_ && in_.size() == 0 && answer.keep_alive();
     whole.body.assign(static_cast<const char*>(answer.body().data().data()), answer.body().size());
@@ -367,6 +338,7 @@
   std::optional<http::response_parser<AnswerBody>> parser_;
   Message out_;
   Outcome outcome_;
+  Result verdict_ = Result::spoilt;  // on the answer whose head has come
   Clock::time_point startedAt_, giveUpAt_, firstByteAt_;
   unsigned interim_ = 0;
   bool up_ = false;
@@ -381,12 +353,12 @@
 };
 
 WorkerPool::WorkerPool(asio::io_context& io, const Limits& limits, Budget& budget, Figures& figures,
-                       std::vector<std::string> reportFields, AnswerSink& sink, Ended ended)
+                       const AnswerReader& reader, AnswerSink& sink, Ended ended)
     : io_(io),
       limits_(limits),
       budget_(budget),
       figures_(figures),
-      reportFields_(std::move(reportFields)),
+      reader_(reader),
       sink_(sink),
       ended_(std::move(ended)),
       most_(limits.total) {}
--- a/src/node/worker_pool.hpp
+++ b/src/node/worker_pool.hpp
@@ -23,7 +23,19 @@
 struct AttemptEnd {
   irisring::Outcome outcome;
   std::string body;
-  std::string contentType;
+  std::optional<AnswerHead> head;  // with an answer that goes on to the client
+};
+
+// How the servers' answers are read.
+class AnswerReader {
+ public:
+  virtual ~AnswerReader() = default;
+  // By its head: what the answer says of the attempt. Fills in what else of the outcome the head tells.
+  virtual irisring::Result read(const http::response_header<>& head, irisring::Outcome& outcome) const = 0;
+  // The fields that go on to the client.
+  virtual http::fields fieldsOf(const http::response_header<>& head) const = 0;
+  // Whether an answer of this result goes on to the client, if it is the last.
+  virtual bool goesOn(irisring::Result result) const { return result == irisring::Result::ok; }
 };
 
 // What a large answer passes on before its end.
@@ -31,8 +43,7 @@
  public:
   virtual ~AnswerSink() = default;
   // From here on it streams, and `ended` tells whether it came whole. False: nobody wants it.
-  virtual bool begun(irisring::RequestId id, const std::string& contentType,
-                     std::optional<std::uint64_t> length) = 0;
+  virtual bool begun(irisring::RequestId id, const AnswerHead& head) = 0;
   // The next piece comes once more() is called.
   virtual void piece(irisring::RequestId id, std::string&& bytes) = 0;
 };
@@ -63,7 +74,7 @@
   using Ended = std::function<void(AttemptEnd&&)>;
 
   WorkerPool(boost::asio::io_context& io, const Limits& limits, Budget& budget, Figures& figures,
-             std::vector<std::string> reportFields, AnswerSink& sink, Ended ended);
+             const AnswerReader& reader, AnswerSink& sink, Ended ended);
   ~WorkerPool();
   WorkerPool(const WorkerPool&) = delete;
   WorkerPool& operator=(const WorkerPool&) = delete;
@@ -110,7 +121,7 @@
   const Limits limits_;
   Budget& budget_;
   Figures& figures_;
-  const std::vector<std::string> reportFields_;
+  const AnswerReader& reader_;
   AnswerSink& sink_;
   const Ended ended_;
   std::unordered_map<irisring::WorkerId, Worker> workers_;  // those that may be sent to
--- a/tests/sides.hpp
+++ b/tests/sides.hpp
@@ -7,7 +7,13 @@
 
 struct Silent : Holder {  // never answers
   bool ready() const override { return true; }
-  bool holds(std::uint64_t clientsId) const override { return held.contains(clientsId); }
+  std::variant<Call, Rejection> read(const ClientMessage& head) override {
+    auto out = readCall(head, *config);
+    if (const auto* read = std::get_if<Call>(&out); read && held.contains(read->id))
+      return Rejection{http::status::conflict, "a request of this Req-Id is open"};
+    return out;
+  }
+  bool asksReadiness(const ClientMessage& head) const override { return head.target() == "/health/ready"; }
   irisring::RequestId nextId() override { return ++last; }
   void take(irisring::RequestId, const Call& c, ClientMessage&&, const std::shared_ptr<Asker>& a) override {
     held.insert(c.id);
@@ -16,6 +22,7 @@
   }
   void wantsMore(irisring::RequestId) override { ++wanted; }
   void left(irisring::RequestId) override { ++gone, held.clear(); }
+  const Config* config = nullptr;
   irisring::RequestId last = 0;
   int gone = 0, wanted = 0;
   Call call;
@@ -27,7 +34,8 @@
  protected:
   void open(const ClientServer::Limits& limits) {
     config = parseConfig(configJson("127.0.0.1:1").dump());
-    server.emplace(io, config, limits, budget, figures, holder);
+    holder.config = &config;
+    server.emplace(io, config.listen, limits, budget, figures, holder);
     server->listen();
     server->start();
   }
@@ -41,7 +49,7 @@
 class Pool : public Loopback, protected AnswerSink {
  protected:
   void open(const WorkerPool::Limits& limits) {
-    pool.emplace(io, limits, budget, figures, std::vector<std::string>{"util", "queue"},
+    pool.emplace(io, limits, budget, figures, answers,
                  static_cast<AnswerSink&>(*this), [this](AttemptEnd&& end) {
                    EXPECT_FALSE(starting) << "told from within start";
                    ends.push_back(std::move(end));
@@ -60,8 +68,8 @@
     until([&] { return ends.size() == n; }, "an outcome");
   }
 
-  bool begun(irisring::RequestId, const std::string&, std::optional<std::uint64_t> told) override {
-    streaming = true, length = told;
+  bool begun(irisring::RequestId, const AnswerHead& head) override {
+    streaming = true, length = head.length;
     return wanted;
   }
   void piece(irisring::RequestId, std::string&& bytes) override { pieces.push_back(std::move(bytes)); }
@@ -70,6 +78,7 @@
   std::vector<std::string> pieces;
   Budget budget{1 << 20};
   Figures figures{{"look"}};
+  const WorkerAnswers answers{{"util", "queue"}};
   Listener worker{io};
   std::optional<WorkerPool> pool;
   std::vector<AttemptEnd> ends;
