--- /dev/null
+++ b/src/cli/main.cpp
@@ -0,0 +1,153 @@
+// lilacmux: an API gateway. The role is a subcommand.
+#include <malloc.h>
+#include <sys/stat.h>
+
+#include <CLI/CLI.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <exception>
+
+#include "cli/log.hpp"
+#include "cli/settings.hpp"
+#include "control/node.hpp"
+#include "gateway/gateway.hpp"
+
+namespace {
+
+using namespace lilacmux;
+using namespace std::chrono_literals;
+
+constexpr int kBadSettings = 2;
+constexpr int kFailed = 1;
+constexpr auto kLookEvery = 1000ms;  // whether the settings file has changed without a signal
+
+// Memory is dear on these machines: what is freed goes back, and there is one arena.
+void tuneMemory() {
+  mallopt(M_ARENA_MAX, 1);
+  mallopt(M_MMAP_THRESHOLD, 64 * 1024);
+  mallopt(M_TRIM_THRESHOLD, 128 * 1024);
+  mallopt(M_TOP_PAD, 32 * 1024);
+}
+
+// The time and size of the file, to see that it is another one.
+std::pair<long, long> lookOf(const std::string& file) {
+  struct stat told {};
+  if (stat(file.c_str(), &told) != 0) return {0, 0};
+  return {told.st_mtim.tv_sec * 1000000 + told.st_mtim.tv_nsec / 1000, told.st_size};
+}
+
+template <class Role>
+class Process {
+ public:
+  Process(const std::string& file, const Logger& log)
+      : file_(file),
+        log_(log),
+        seen_(lookOf(file)),
+        hup_(io_, SIGHUP),
+        term_(io_, SIGTERM, SIGINT),
+        look_(io_),
+        role_(io_, readSettings(file), [&log](const std::string& line) { log.info(line); }) {}
+
+  void run() {
+    onHup();
+    look();
+    term_.async_wait([this](const boost::system::error_code& error, int) {
+      if (error) return;
+      log_.info("leaves");
+      role_.drain([this] { io_.stop(); });
+    });
+    io_.run();
+  }
+
+ private:
+  // A file that cannot be read, or says what cannot be, changes nothing.
+  void reload() {
+    seen_ = lookOf(file_);
+    try {
+      role_.reload(readSettings(file_));
+    } catch (const std::exception& why) {
+      log_.warn(std::string("settings not taken: ") + why.what());
+    }
+  }
+  void onHup() {
+    hup_.async_wait([this](const boost::system::error_code& error, int) {
+      if (error) return;
+      reload();
+      onHup();
+    });
+  }
+  void look() {
+    look_.expires_after(kLookEvery);
+    look_.async_wait([this](const boost::system::error_code& error) {
+      if (error) return;
+      if (lookOf(file_) != seen_) reload();
+      look();
+    });
+  }
+
+  const std::string file_;
+  const Logger& log_;
+  std::pair<long, long> seen_;
+  boost::asio::io_context io_{1};
+  boost::asio::signal_set hup_, term_;
+  boost::asio::steady_timer look_;
+  Role role_;
+};
+
+template <class Role>
+int runRole(const std::string& file, const std::string& level) {
+  const Logger log(level);
+  try {
+    std::signal(SIGPIPE, SIG_IGN);
+    tuneMemory();
+    Process<Role>(file, log).run();
+    return 0;
+  } catch (const SettingsError& why) {
+    std::fprintf(stderr, "lilacmux: %s\n", why.what());
+    return kBadSettings;
+  } catch (const std::exception& why) {
+    log.error(why.what());
+    return kFailed;
+  }
+}
+
+int check(const std::string& file) {
+  try {
+    const NodeSettings settings = readSettings(file);
+    std::printf("%s: good, node %s in %s\n", file.c_str(), settings.name.c_str(), settings.zone.c_str());
+    return 0;
+  } catch (const SettingsError& why) {
+    std::fprintf(stderr, "lilacmux: %s\n", why.what());
+    return kBadSettings;
+  }
+}
+
+}  // namespace
+
+int main(int count, char** words) {
+  CLI::App app{"An API gateway: one program, the role is a subcommand.", "lilacmux"};
+  std::string file = "/etc/lilacmux/settings.json", level = "info";
+  app.add_option("-c,--config", file, "the settings file")->envname("LILACMUX_CONFIG")->capture_default_str();
+  app.add_option("-l,--log-level", level, "trace, debug, info, warn, error or off")
+      ->check(CLI::IsMember({"trace", "debug", "info", "warn", "error", "off"}))
+      ->capture_default_str();
+  app.set_version_flag("--version", "lilacmux 0.1.0");
+  app.require_subcommand(1);
+  app.fallthrough();
+  auto* gateway = app.add_subcommand("gateway", "carries clients' requests to servers");
+  auto* control = app.add_subcommand("control", "keeps the configuration; one of the core");
+  auto* settings = app.add_subcommand("check", "reads the settings file and says what is wrong with it");
+  try {
+    app.parse(count, words);
+  } catch (const CLI::ParseError& error) {
+    return app.exit(error) == 0 ? 0 : kBadSettings;
+  }
+  if (settings->parsed()) return check(file);
+  if (control->parsed()) return runRole<ControlNode>(file, level);
+  (void)gateway;
+  return runRole<Gateway>(file, level);
+}
--- a/src/cli/settings.cpp
+++ b/src/cli/settings.cpp
@@ -138,7 +138,8 @@
   if (find(root, "dataDirectory")) out.dataDirectory = text(root, "dataDirectory");
   readBounds(root, out.bounds);
   const json& platform = part(root, "platformApi");
-  if (find(platform, "address")) out.platform = parseAddress(text(platform, "address"), "platformApi.address");
+  if (find(platform, "address"))
+    out.platform = parseAddress(text(platform, "address"), "platformApi.address");
   number(platform, "ratePerS", out.platformRatePerS);
   return out;
 }
--- a/src/control/change_log.cpp
+++ b/src/control/change_log.cpp
@@ -3,7 +3,7 @@
 namespace lilacmux {
 
 void to_json(nlohmann::json& out, const Instance& i) {
-  out = {{"id", i.id},     {"service", i.service},   {"at", i.address},      {"zone", i.zone},
+  out = {{"id", i.id},          {"service", i.service}, {"at", i.address},   {"zone", i.zone},
          {"slots", i.capacity}, {"leaves", i.draining}, {"cold", i.warmupMs}};
 }
 
--- a/src/control/change_log.hpp
+++ b/src/control/change_log.hpp
@@ -50,7 +50,7 @@
     bool snapshot = false;    // the servers are all there are
     std::vector<Instance> set;
     std::vector<std::string> gone;
-    bool servers = false;  // whether `set` and `gone` say anything
+    bool servers = false;                              // whether `set` and `gone` say anything
     std::shared_ptr<const std::string> configuration;  // if newer than the follower's
     std::uint64_t revision = 0;
   };
--- /dev/null
+++ b/src/control/node.cpp
@@ -0,0 +1,269 @@
+#include "control/node.hpp"
+
+#include <xxhash.h>
+
+#include <boost/asio/post.hpp>
+#include <chrono>
+
+#include "control/configuration.hpp"
+
+namespace lilacmux {
+namespace {
+
+namespace http = boost::beast::http;
+using namespace std::chrono_literals;
+using burlwind::callReply;
+using burlwind::CallReply;
+
+constexpr auto kTick = 100ms;
+constexpr auto kLeaveAfter = 300ms;  // what was said last goes out
+constexpr std::size_t kMostWaiting = 64;
+constexpr std::size_t kMostTaken = 64;  // fingerprints kept
+constexpr std::size_t kMostConfiguration = 8 << 20;
+constexpr std::size_t kLinks = 512;  // of gatekeepers and members
+constexpr Millis kShareLease = 4000;
+constexpr const char* kPack = "application/msgpack";
+
+std::uint64_t fingerprint(std::string_view body) { return XXH3_64bits(body.data(), body.size()); }
+
+std::string textOf(const boost::asio::ip::tcp::endpoint& at) {
+  return at.address().to_string() + ":" + std::to_string(at.port());
+}
+
+// The other members' internal addresses, by what their control addresses are told to be.
+std::vector<NodeId> internal(const NodeSettings& settings) {
+  std::vector<NodeId> out;
+  for (const Endpoint& seed : settings.seeds) out.push_back(textOf({seed.address(), controlPort(settings)}));
+  return out;
+}
+
+const NodeSettings& checked(const NodeSettings& settings) {
+  if (!settings.controlPlane)
+    throw SettingsError("listeners.controlPlane: is missing, the control role needs it");
+  if (!settings.dataDirectory)
+    throw SettingsError("dataDirectory: is missing, the control role needs a disk");
+  if (settings.seeds.empty()) throw SettingsError("seedNodes: is empty");
+  return settings;
+}
+
+CallReply refusal(http::status status, const std::string& why, const char* retryAfter = nullptr) {
+  CallReply out = callReply(status, why + "\n");
+  if (retryAfter) out.set(http::field::retry_after, retryAfter);
+  return out;
+}
+
+}  // namespace
+
+ControlNode::ControlNode(boost::asio::io_context& io, const NodeSettings& settings, Log log)
+    : io_(io),
+      settings_(checked(settings)),
+      log_(std::move(log)),
+      self_(settings.address + ":" + std::to_string(controlPort(settings))),
+      store_(*settings.dataDirectory / "control", log_),
+      tick_(io),
+      leave_(io) {
+  replica_ = std::make_unique<Replica>(self_, internal(settings_), settings_.bootstrap, store_.read(),
+                                       Replica::Timing{}, now(), static_cast<ReplicaHost&>(*this));
+  frames_.emplace(
+      io_, Endpoint(boost::asio::ip::make_address(settings_.address), controlPort(settings_)), kLinks,
+      [this](Frame&& frame, const FrameServer::Reply& reply) { framed(std::move(frame), reply); }, log_);
+  burlwind::CallServer::Limits limits;
+  limits.connections = 64;
+  limits.mostBody = kMostConfiguration;
+  limits.wholeWithin = 10000ms;
+  calls_.emplace(io_, *settings_.controlPlane, limits,
+                 [this](Call&& call, const Respond& respond) { called(std::move(call), respond); });
+  tick();
+}
+
+ControlNode::~ControlNode() = default;
+
+Millis ControlNode::now() const {
+  return std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now().time_since_epoch())
+      .count();
+}
+
+void ControlNode::reload(const NodeSettings& settings) {
+  const bool moved = settings.platform != settings_.platform;
+  settings_.platform = settings.platform;
+  settings_.platformRatePerS = settings.platformRatePerS;
+  if (moved && watch_) watchPlatform();
+  log_(moved ? "settings read: the platform's list has moved" : "settings read");
+}
+
+void ControlNode::drain(std::function<void()> done) {
+  leaving_ = true;
+  replica_->resign(now());
+  leave_.expires_after(kLeaveAfter);
+  leave_.async_wait([done = std::move(done)](const boost::system::error_code&) { done(); });
+}
+
+void ControlNode::tick() {
+  if (!leaving_) replica_->tick(now());
+  pump();
+  tick_.expires_after(kTick);
+  tick_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) tick();
+  });
+}
+
+// --- What the replica asks for
+// -------------------------------------------------------------------------------
+
+void ControlNode::send(const NodeId& to, const Message& message) {
+  auto& peer = peers_[to];
+  if (!peer) peer = std::make_unique<FrameClient>(io_, parseAddress(to, "peer"));
+  peer->post(toFrame(message));
+}
+
+bool ControlNode::store(const Durable& durable) { return store_.write(durable); }
+
+void ControlNode::committed(const State& state) {
+  lead(state);
+  if (!current_) return;
+  const Respond respond = std::move(current_->respond);
+  current_.reset();
+  respond(callReply(http::status::ok, "taken\n"));
+  boost::asio::post(io_, [this] { pump(); });
+}
+
+// A primary's own part begins with the first state that is known to hold, and goes on with each change.
+void ControlNode::lead(const State& state) {
+  if (!changes_) {
+    changes_ = std::make_unique<ChangeLog>(replica_->epoch());
+    const Millis quiet = state.sequence == 0 ? now() : now() + kShareLease;
+    shares_ = std::make_unique<ShareLedger>(kShareLease, quiet);
+    watchPlatform();
+  }
+  changes_->configuration(state.revision, state.body);
+  std::map<std::string, Quota> quotas;
+  if (state.body) {
+    const auto read = parseConfiguration(*state.body);
+    const Bounds& bounds = settings_.bounds;
+    const QuotaRule rule{bounds.quotaWindowS, bounds.quotaOverage, bounds.quotaSlack};
+    if (const auto* configuration = std::get_if<Configuration>(&read))
+      for (const Tenant& tenant : configuration->tenants)
+        if (tenant.ratePerS > 0) quotas[tenant.name] = rule.within(tenant.ratePerS, tenant.burst);
+  }
+  shares_->limits(std::move(quotas));
+}
+
+void ControlNode::watchPlatform() {
+  watch_.reset();
+  if (!settings_.platform) return log_("platformApi.address is missing: no list of servers");
+  watch_ = std::make_unique<PlatformWatch>(
+      io_, *settings_.platform, settings_.platformRatePerS,
+      [this](const std::vector<Instance>& list) {
+        if (changes_) changes_->servers(list);
+      },
+      log_);
+}
+
+void ControlNode::lostPrimacy() {
+  changes_.reset();
+  shares_.reset();
+  // Its own handler may be what is running.
+  boost::asio::post(io_, [watch = std::shared_ptr<PlatformWatch>(std::move(watch_))] {});
+  if (current_) waiting_.push_front(std::move(*current_));
+  current_.reset();
+  for (const Change& change : waiting_)
+    change.respond(refusal(http::status::service_unavailable, "the primary has changed", "0.2"));
+  waiting_.clear();
+}
+
+// --- The operators
+// ---------------------------------------------------------------------------------------------
+
+void ControlNode::called(Call&& call, const Respond& respond) {
+  std::string_view rest = burlwind::view(call.target());
+  const std::string path(burlwind::cut(rest, '?'));
+  const bool replaces = path == "/api/Configuration.Replace",
+             describes = path == "/api/Configuration.Describe";
+  if (!replaces && !describes) return respond(refusal(http::status::not_found, "no such call"));
+  if (call.method() != (replaces ? http::verb::post : http::verb::get))
+    return respond(refusal(http::status::method_not_allowed, "the call's method is another"));
+  if (!replica_->mayServe(now())) return elsewhere(path, respond);
+  replaces ? replace(std::move(call), respond) : describe(respond);
+}
+
+void ControlNode::elsewhere(const std::string& path, const Respond& respond) const {
+  const NodeId& leader = replica_->leader();
+  if (leader.empty() || leader == self_)
+    return respond(refusal(http::status::service_unavailable, "no primary yet", "0.2"));
+  const Endpoint at = parseAddress(leader, "leader");
+  CallReply out = callReply(http::status::temporary_redirect, "the primary is elsewhere\n");
+  out.set(http::field::location, "http://" + textOf({at.address(), settings_.controlPlane->port()}) + path);
+  respond(std::move(out));
+}
+
+void ControlNode::describe(const Respond& respond) {
+  const State& state = replica_->committed();
+  if (!state.body) return respond(refusal(http::status::not_found, "no configuration yet"));
+  respond(callReply(http::status::ok, *state.body, kPack));
+}
+
+void ControlNode::replace(Call&& call, const Respond& respond) {
+  const auto base = burlwind::number<std::uint64_t>(burlwind::view(call["X-Base-Revision"]));
+  if (!base) return respond(refusal(http::status::bad_request, "X-Base-Revision is not a number"));
+  if (waiting_.size() >= kMostWaiting)
+    return respond(refusal(http::status::service_unavailable, "too many changes at once", "0.5"));
+  waiting_.push_back({std::move(call.body()), *base, respond});
+  pump();
+}
+
+// One change at a time: the next is held against what the one before has left.
+void ControlNode::pump() {
+  while (!waiting_.empty() && !current_ && replica_->canWrite(now())) {
+    Change next = std::move(waiting_.front());
+    waiting_.pop_front();
+    decide(std::move(next));
+  }
+}
+
+void ControlNode::decide(Change&& change) {
+  const State& state = replica_->committed();
+  const std::uint64_t print = fingerprint(change.body);
+  for (const auto& [revision, taken] : state.fingerprint)
+    if (taken == print) return change.respond(callReply(http::status::ok, "taken already\n"));
+  const auto read = parseConfiguration(change.body);
+  if (const auto* why = std::get_if<std::string>(&read))
+    return change.respond(refusal(http::status::bad_request, *why));
+  if (change.base != state.revision)
+    return change.respond(refusal(http::status::precondition_failed,
+                                  "the version in place is " + std::to_string(state.revision)));
+  const std::uint64_t revision = std::get<Configuration>(read).revision;
+  if (revision <= state.revision)
+    return change.respond(refusal(http::status::bad_request, "revision does not exceed the one in place"));
+  State next = state;
+  ++next.sequence;
+  next.revision = revision;
+  next.body = std::make_shared<const std::string>(std::move(change.body));
+  next.fingerprint[revision] = print;
+  if (next.fingerprint.size() > kMostTaken) next.fingerprint.erase(next.fingerprint.begin());
+  change.body.clear();
+  current_ = std::move(change);
+  replica_->propose(now(), next);
+}
+
+// --- Gatekeepers and members
+// -------------------------------------------------------------------------------------
+
+void ControlNode::framed(Frame&& frame, const FrameServer::Reply& reply) {
+  if (const auto call = followCallOf(frame)) return reply(toFrame(follow(*call)));
+  if (const auto message = messageOf(std::move(frame))) replica_->receive(now(), *message);
+}
+
+FollowAnswer ControlNode::follow(const FollowCall& call) {
+  FollowAnswer out;
+  if (!replica_->mayServe(now()) || !changes_) {
+    if (replica_->leader() != self_) out.leader = replica_->leader();
+    return out;
+  }
+  out.epoch = changes_->epoch();
+  out.news = changes_->since(call.epoch, call.place, call.revision);
+  out.grants = shares_->turn(now(), call.name, call.demands, out.grant);
+  out.gatekeepers = shares_->gatekeepers(now());
+  return out;
+}
+
+}  // namespace lilacmux
--- /dev/null
+++ b/src/control/node.hpp
@@ -0,0 +1,87 @@
+// The control role: one member of the core on its sockets and its disk. Operators' calls come in over HTTP,
+// gatekeepers and the other members over frames. What decides stands in Replica, ShareLedger and ChangeLog.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "cli/settings.hpp"
+#include "control/change_log.hpp"
+#include "control/platform.hpp"
+#include "control/replica.hpp"
+#include "control/shares.hpp"
+#include "control/wire.hpp"
+#include "net/call_server.hpp"
+#include "net/frames.hpp"
+#include "store/store.hpp"
+
+namespace lilacmux {
+
+class ControlNode : private ReplicaHost {
+ public:
+  using Log = std::function<void(const std::string&)>;
+
+  // Throws SettingsError where the settings do not fit the role, std::runtime_error if it cannot listen or
+  // keep anything.
+  ControlNode(boost::asio::io_context& io, const NodeSettings& settings, Log log);
+  ~ControlNode() override;
+
+  // New settings: what may differ in a running process is taken, the rest waits for a start.
+  void reload(const NodeSettings& settings);
+  // Hands over, finishes what is out, then calls `done`.
+  void drain(std::function<void()> done);
+
+ private:
+  using Call = burlwind::CallServer::Call;
+  using Respond = burlwind::CallServer::Respond;
+  struct Change {  // an operator's, not yet answered
+    std::string body;
+    std::uint64_t base = 0;
+    Respond respond;
+  };
+
+  // ReplicaHost
+  void send(const NodeId& to, const Message& message) override;
+  bool store(const Durable& durable) override;
+  void committed(const State& state) override;
+  void lostPrimacy() override;
+  void log(const std::string& line) override { log_(line); }
+
+  void tick();
+  void called(Call&& call, const Respond& respond);
+  void replace(Call&& call, const Respond& respond);
+  void describe(const Respond& respond);
+  void elsewhere(const std::string& path, const Respond& respond) const;
+  void pump();
+  void decide(Change&& change);
+  void framed(Frame&& frame, const FrameServer::Reply& reply);
+  FollowAnswer follow(const FollowCall& call);
+  void lead(const State& state);
+  void watchPlatform();
+  Millis now() const;
+
+  boost::asio::io_context& io_;
+  NodeSettings settings_;
+  const Log log_;
+  const NodeId self_;
+  Store store_;
+  std::map<NodeId, std::unique_ptr<FrameClient>> peers_;
+  std::unique_ptr<Replica> replica_;
+  std::unique_ptr<ChangeLog> changes_;    // while primary
+  std::unique_ptr<ShareLedger> shares_;   // while primary
+  std::unique_ptr<PlatformWatch> watch_;  // while primary
+  std::deque<Change> waiting_;
+  std::optional<Change> current_;  // proposed
+  boost::asio::steady_timer tick_, leave_;
+  std::optional<burlwind::CallServer> calls_;
+  std::optional<FrameServer> frames_;
+  bool leaving_ = false;
+};
+
+}  // namespace lilacmux
--- /dev/null
+++ b/src/control/platform.hpp
@@ -0,0 +1,51 @@
+// The platform's list of servers, read by the primary alone: all pages, again and again, within the
+// platform's rate. A round that fails on any page changes nothing.
+#pragma once
+
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "control/change_log.hpp"
+#include "net/fetch.hpp"
+
+namespace lilacmux {
+
+struct ListPage {
+  std::vector<Instance> instances;
+  std::string next;  // empty: the last page
+};
+
+// The page, or what is wrong with it.
+std::variant<ListPage, std::string> parsePage(std::string_view messagePack);
+
+class PlatformWatch {
+ public:
+  using Told = std::function<void(const std::vector<Instance>&)>;
+  using Log = std::function<void(const std::string&)>;
+
+  PlatformWatch(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& address, double ratePerS,
+                Told told, Log log);
+
+ private:
+  void round();
+  void page(const std::string& token);
+  void failed(const std::string& why, bool refused);
+  void again(std::chrono::milliseconds wait);
+
+  Fetcher fetcher_;
+  boost::asio::steady_timer timer_;
+  const std::chrono::milliseconds least_;  // between two calls
+  const Told told_;
+  const Log log_;
+  std::vector<Instance> gathered_;
+  std::size_t had_ = 0;  // servers on the list before
+  unsigned emptyRounds_ = 0;
+  unsigned failures_ = 0;  // rounds in a row
+  unsigned pages_ = 0;
+};
+
+}  // namespace lilacmux
--- a/src/control/replica.cpp
+++ b/src/control/replica.cpp
@@ -76,18 +76,26 @@
   return !fresh_ && now < startedAt_ + timing_.lease;
 }
 
-// --- Events -------------------------------------------------------------------------------------------------
+// --- Events
+// -------------------------------------------------------------------------------------------------
 
 void Replica::receive(Millis now, const Message& message) {
   if (failed_ || message.from == self_) return;
   switch (message.kind) {
-    case Message::Kind::hello: return onHello(now, message);
-    case Message::Kind::beat: return onBeat(now, message);
-    case Message::Kind::beatAck: return onBeatAck(now, message);
-    case Message::Kind::ask: return onAsk(now, message);
-    case Message::Kind::vote: return onVote(now, message);
-    case Message::Kind::sync: return onSync(now, message);
-    case Message::Kind::synced: return onSynced(now, message);
+    case Message::Kind::hello:
+      return onHello(now, message);
+    case Message::Kind::beat:
+      return onBeat(now, message);
+    case Message::Kind::beatAck:
+      return onBeatAck(now, message);
+    case Message::Kind::ask:
+      return onAsk(now, message);
+    case Message::Kind::vote:
+      return onVote(now, message);
+    case Message::Kind::sync:
+      return onSync(now, message);
+    case Message::Kind::synced:
+      return onSynced(now, message);
     case Message::Kind::resign:
       if (message.from != leader_) return;
       heardBeat_ = -1e18;
@@ -214,17 +222,17 @@
   lead(now, won.epoch, previous, backup);
 }
 
-// Whether this node has all that was ever committed. A primary of the newest record that any majority knows of
-// has, and so has its backup once it was given the state in that epoch. Where that backup votes and says that
-// it never was, nothing was committed in that epoch, and the one before it counts.
+// Whether this node has all that was ever committed. A primary of the newest record that any majority knows
+// of has, and so has its backup once it was given the state in that epoch. Where that backup votes and says
+// that it never was, nothing was committed in that epoch, and the one before it counts.
 bool Replica::eligible(const std::map<NodeId, Message>& votes) const {
   Record newest = durable_.record;
   for (const auto& [from, vote] : votes)
     if (vote.record.epoch > newest.epoch) newest = vote.record;
   if (newest.epoch == 0 || durable_.dataEpoch == newest.epoch) return true;
   const auto backup = votes.find(newest.backup);
-  const bool unused = backup != votes.end()     ? backup->second.dataEpoch < newest.epoch
-                      : newest.backup == self_ && durable_.dataEpoch < newest.epoch;
+  const bool unused = backup != votes.end() ? backup->second.dataEpoch < newest.epoch
+                                            : newest.backup == self_ && durable_.dataEpoch < newest.epoch;
   return unused && durable_.dataEpoch >= newest.previous;
 }
 
@@ -234,8 +242,7 @@
       record.primary != message.from || durable_.promised != record.epoch || !message.state)
     return;
   heardBeat_ = std::max(heardBeat_, now - timing_.beat);
-  const bool known = durable_.dataEpoch == record.epoch &&
-                     message.state->sequence <= durable_.state.sequence;
+  const bool known = durable_.dataEpoch == record.epoch && message.state->sequence <= durable_.state.sequence;
   if (!known) {
     durable_.state = *message.state;
     durable_.dataEpoch = record.epoch;
@@ -259,7 +266,8 @@
   if (news) host_.committed(*committed_);
 }
 
-// --- As a primary --------------------------------------------------------------------------------------------
+// --- As a primary
+// --------------------------------------------------------------------------------------------
 
 void Replica::lead(Millis now, std::uint64_t epoch, std::uint64_t previous, const NodeId& backup) {
   durable_.promised = epoch;
@@ -353,7 +361,8 @@
   if (settled) broadcast(word);
 }
 
-// --- As a follower -------------------------------------------------------------------------------------------
+// --- As a follower
+// -------------------------------------------------------------------------------------------
 
 void Replica::tickFollower(Millis now) {
   if (owes(now) || learning_) return;
--- a/src/control/replica.hpp
+++ b/src/control/replica.hpp
@@ -3,8 +3,8 @@
 // clock.
 //
 // The members are the core machines that were told at the first start. Each keeps, on disk, the newest epoch
-// that it has promised and the newest record that it has taken; a record names one epoch's primary and backup.
-// The primary writes a change to its disk and to the backup's before it counts; the other members are
+// that it has promised and the newest record that it has taken; a record names one epoch's primary and
+// backup. The primary writes a change to its disk and to the backup's before it counts; the other members are
 // witnesses, which keep order and epochs only. A majority of members decides on a record. A member that has
 // heard from its primary helps nobody else for `lease` ms; the primary acts only for as long as a majority
 // owes it that, so that there are never two that act.
@@ -55,9 +55,9 @@
   Record record;
   std::uint64_t dataEpoch = 0;
   std::uint64_t sequence = 0;
-  Millis sentAt = 0;             // beat: the sender's clock, given back by its ack
-  std::vector<NodeId> members;   // hello: as the sender knows them
-  std::optional<State> state;    // sync
+  Millis sentAt = 0;            // beat: the sender's clock, given back by its ack
+  std::vector<NodeId> members;  // hello: as the sender knows them
+  std::optional<State> state;   // sync
 };
 
 class ReplicaHost {
@@ -76,8 +76,8 @@
   struct Timing {
     Millis beat = 250;
     Millis lease = 1500;
-    Millis slack = 100;        // kept from the lease for the rates of clocks
-    Millis stagger = 200;      // between those who may stand for election
+    Millis slack = 100;         // kept from the lease for the rates of clocks
+    Millis stagger = 200;       // between those who may stand for election
     Millis backupSilent = 900;  // then another member becomes the backup
     Millis listenFirst = 2000;  // an empty disk: only listens for so long
     Millis resync = 400;
--- a/src/control/shares.cpp
+++ b/src/control/shares.cpp
@@ -6,8 +6,9 @@
 namespace lilacmux {
 namespace {
 
-constexpr double kDoubt = 0.04;  // of the rate, over the gatekeepers: demand that each is held to have at least
-constexpr double kNews = 0.5;    // weight of a new word on demand against the one before
+constexpr double kDoubt =
+    0.04;                      // of the rate, over the gatekeepers: demand that each is held to have at least
+constexpr double kNews = 0.5;  // weight of a new word on demand against the one before
 constexpr double kLeastBurst = 1;
 
 }  // namespace
--- a/src/control/shares.hpp
+++ b/src/control/shares.hpp
@@ -1,6 +1,7 @@
 // Shares of the tenants' quotas, lent to gatekeepers for a time: the rate and the burst that one of them may
-// let in. What is lent at any moment, to all together and counting what a silent one may still use, never sums
-// to more than the tenant's limit; so the limit holds whoever is cut off. A state machine without a clock.
+// let in. What is lent at any moment, to all together and counting what a silent one may still use, never
+// sums to more than the tenant's limit; so the limit holds whoever is cut off. A state machine without a
+// clock.
 #pragma once
 
 #include <cstdint>
@@ -36,8 +37,8 @@
   using Millis = double;
   struct Demand {
     std::string tenant;
-    double perS = 0;  // requests that came lately, let in or not
-    Share held;       // what the gatekeeper goes by
+    double perS = 0;          // requests that came lately, let in or not
+    Share held;               // what the gatekeeper goes by
     std::uint64_t grant = 0;  // the number of the grant that told it so; 0: none
   };
   struct Grant {
--- /dev/null
+++ b/src/control/wire.cpp
@@ -0,0 +1,170 @@
+#include "control/wire.hpp"
+
+namespace lilacmux {
+namespace {
+
+using nlohmann::json;
+
+constexpr const char* kKind = "t";
+constexpr const char* kNames[] = {"hello", "beat", "beat-ack", "ask", "vote", "sync", "synced", "resign"};
+
+json recordOf(const Record& r) { return json::array({r.epoch, r.previous, r.primary, r.backup}); }
+
+Record recordFrom(const json& in) {
+  return {in.at(0).get<std::uint64_t>(), in.at(1).get<std::uint64_t>(), in.at(2).get<std::string>(),
+          in.at(3).get<std::string>()};
+}
+
+std::string kindOf(const Frame& frame) {
+  const auto found = frame.head.find(kKind);
+  return found != frame.head.end() && found->is_string() ? found->get<std::string>() : std::string();
+}
+
+void addState(const State& state, Frame& out) {
+  json taken = json::array();
+  for (const auto& [revision, print] : state.fingerprint) taken.push_back({revision, print});
+  out.head["state"] = {{"sequence", state.sequence}, {"revision", state.revision}, {"taken", taken}};
+  if (state.body) out.body = *state.body;
+}
+
+State stateFrom(const json& in, std::string&& body) {
+  State out;
+  in.at("sequence").get_to(out.sequence);
+  in.at("revision").get_to(out.revision);
+  for (const json& entry : in.at("taken"))
+    out.fingerprint[entry.at(0).get<std::uint64_t>()] = entry.at(1).get<std::uint64_t>();
+  if (out.revision > 0) out.body = std::make_shared<const std::string>(std::move(body));
+  return out;
+}
+
+// What is read within is wrong as a whole if any of it is.
+template <class T, class Read>
+std::optional<T> whole(Read read) {
+  try {
+    return read();
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
+}
+
+}  // namespace
+
+Frame toFrame(const Message& m) {
+  Frame out;
+  out.head = {{kKind, kNames[static_cast<std::size_t>(m.kind)]},
+              {"from", m.from},
+              {"epoch", m.epoch},
+              {"yes", m.yes},
+              {"record", recordOf(m.record)},
+              {"data", m.dataEpoch},
+              {"seq", m.sequence},
+              {"at", m.sentAt}};
+  if (!m.members.empty()) out.head["members"] = m.members;
+  if (m.state) addState(*m.state, out);
+  return out;
+}
+
+std::optional<Message> messageOf(Frame&& frame) {
+  const std::string kind = kindOf(frame);
+  const auto name = std::find(std::begin(kNames), std::end(kNames), kind);
+  if (name == std::end(kNames)) return std::nullopt;
+  return whole<Message>([&] {
+    Message out;
+    out.kind = static_cast<Message::Kind>(name - std::begin(kNames));
+    const json& in = frame.head;
+    in.at("from").get_to(out.from);
+    in.at("epoch").get_to(out.epoch);
+    in.at("yes").get_to(out.yes);
+    out.record = recordFrom(in.at("record"));
+    in.at("data").get_to(out.dataEpoch);
+    in.at("seq").get_to(out.sequence);
+    in.at("at").get_to(out.sentAt);
+    if (in.contains("members")) in.at("members").get_to(out.members);
+    if (in.contains("state")) out.state = stateFrom(in.at("state"), std::move(frame.body));
+    return out;
+  });
+}
+
+Frame toFrame(const FollowCall& call) {
+  Frame out;
+  json demands = json::array();
+  for (const auto& d : call.demands)
+    demands.push_back({d.tenant, d.perS, d.held.rate, d.held.burst, d.grant});
+  out.head = {{kKind, "follow"},     {"name", call.name},         {"epoch", call.epoch},
+              {"place", call.place}, {"revision", call.revision}, {"demands", demands}};
+  return out;
+}
+
+std::optional<FollowCall> followCallOf(const Frame& frame) {
+  if (kindOf(frame) != "follow") return std::nullopt;
+  return whole<FollowCall>([&] {
+    FollowCall out;
+    const json& in = frame.head;
+    in.at("name").get_to(out.name);
+    in.at("epoch").get_to(out.epoch);
+    in.at("place").get_to(out.place);
+    in.at("revision").get_to(out.revision);
+    for (const json& d : in.at("demands"))
+      out.demands.push_back({d.at(0).get<std::string>(),
+                             d.at(1).get<double>(),
+                             {d.at(2).get<double>(), d.at(3).get<double>()},
+                             d.at(4).get<std::uint64_t>()});
+    return out;
+  });
+}
+
+Frame toFrame(const FollowAnswer& a) {
+  Frame out;
+  if (!a.leader.empty() || a.epoch == 0) {
+    out.head = {{kKind, "elsewhere"}, {"leader", a.leader}};
+    return out;
+  }
+  out.head = {{kKind, "news"},          {"epoch", a.epoch},
+              {"place", a.news.place},  {"revision", a.news.revision},
+              {"fleet", a.gatekeepers}, {"grant", a.grant}};
+  if (a.news.servers) {
+    out.head["snapshot"] = a.news.snapshot;
+    out.head["set"] = a.news.set;
+    out.head["gone"] = a.news.gone;
+  }
+  json grants = json::array();
+  for (const auto& g : a.grants) grants.push_back({g.tenant, g.share.rate, g.share.burst});
+  if (!grants.empty()) out.head["grants"] = std::move(grants);
+  if (a.news.configuration) {
+    out.head["configuration"] = true;
+    out.body = *a.news.configuration;
+  }
+  return out;
+}
+
+std::optional<FollowAnswer> followAnswerOf(Frame&& frame) {
+  const std::string kind = kindOf(frame);
+  if (kind != "news" && kind != "elsewhere") return std::nullopt;
+  return whole<FollowAnswer>([&] {
+    FollowAnswer out;
+    const json& in = frame.head;
+    if (kind == "elsewhere") {
+      in.at("leader").get_to(out.leader);
+      return out;
+    }
+    in.at("epoch").get_to(out.epoch);
+    in.at("place").get_to(out.news.place);
+    in.at("revision").get_to(out.news.revision);
+    in.at("fleet").get_to(out.gatekeepers);
+    in.at("grant").get_to(out.grant);
+    if (in.contains("set")) {
+      out.news.servers = true;
+      in.at("snapshot").get_to(out.news.snapshot);
+      in.at("set").get_to(out.news.set);
+      in.at("gone").get_to(out.news.gone);
+    }
+    if (in.contains("grants"))
+      for (const json& g : in.at("grants"))
+        out.grants.push_back({g.at(0).get<std::string>(), {g.at(1).get<double>(), g.at(2).get<double>()}});
+    if (in.contains("configuration"))
+      out.news.configuration = std::make_shared<const std::string>(std::move(frame.body));
+    return out;
+  });
+}
+
+}  // namespace lilacmux
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -15,6 +15,7 @@
 #include <unordered_map>
 #include <utility>
 
+#include "bucket.hpp"
 #include "pack.hpp"
 
 namespace irisring {
@@ -584,9 +585,9 @@
     const PlanSettings& plan = set_.plans[c.plan];
     const Time span = std::max(0.0, now - c.at);
     const double dt = span / 1000;
-    c.tokens = std::min(plan.burst, c.tokens + plan.rate * dt);
+    c.tokens = refilled(c.tokens, plan.rate, plan.burst, dt);
     const double taken = othersTake(c, c.store, dt);
-    c.store = std::min(plan.burst, c.store + plan.rate * dt - taken);
+    c.store = refilled(c.store - taken, plan.rate, plan.burst, dt);
     c.ceiling = std::min(plan.ceilingBurst / c.setSize, c.ceiling + plan.ceilingRate * dt / c.setSize);
     const double keepNews = std::exp(-span / kNews), keep = std::exp(-span / kForget);
     c.newsUnits *= keepNews, c.newsTime = c.newsTime * keepNews + share(c) * dt;
@@ -595,9 +596,8 @@
     c.asked *= keepAsked, c.askedTime = c.askedTime * keepAsked + span;
     const double keepShare = std::exp(-span / kShareTau);
     c.ownUse *= keepShare, c.allUse *= keepShare;
-    if (now - c.readingAt > 2 * set_.meterPeriod) {  // a gateway that lets nothing in is told nothing
-      c.fraction = std::min(1.0, c.fraction + span / std::max(kClimb, kClimbGaps * c.readingGap));
-    }
+    if (now - c.readingAt > 2 * set_.meterPeriod)  // a gateway that lets nothing in is told nothing
+      c.fraction = climbed(c.fraction, span, std::max(kClimb, kClimbGaps * c.readingGap));
     c.credit = std::min(kPaceMost * c.units, c.credit + plan.rate * share(c) * dt);
     touchSlot(c, now, taken);
     c.at = std::max(c.at, now);
--- /dev/null
+++ b/src/gateway/gateway.cpp
@@ -0,0 +1,520 @@
+#include "gateway/gateway.hpp"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <chrono>
+#include <cmath>
+
+namespace lilacmux {
+namespace {
+
+namespace http = burlwind::http;
+using namespace std::chrono_literals;
+using burlwind::Answer;
+using burlwind::AttemptEnd;
+using burlwind::Call;
+using burlwind::ClientMessage;
+using burlwind::Rejection;
+using burlwind::view;
+using irisring::Outcome;
+using irisring::Result;
+using irisring::WorkerId;
+
+constexpr double kWayBack = 12;          // ms kept for the way back to the client
+constexpr double kShareLease = 4000;     // ms; the control plane counts on no more
+constexpr double kRevocationKept = 800;  // ms of the bound on taken keys that are not used
+constexpr double kRetryAfter = 250;      // ms advised where nothing better is known
+constexpr double kNoLeaseRetryAfter = 500;
+constexpr std::size_t kSparedSockets = 240;  // the bench's and the program's own
+constexpr unsigned kOwnMegabytes = 40;
+constexpr std::size_t kGuessedFleet = 8;   // gatekeepers, until the control plane has told
+constexpr auto kAcceptAfterTerm = 2800ms;  // the platform notices within two misses, a second each
+constexpr double kGraceKept = 900;         // ms of the grace period, for the last answers' way
+
+std::chrono::steady_clock::duration span(double ms) {
+  return std::chrono::duration_cast<std::chrono::steady_clock::duration>(
+      std::chrono::duration<double, std::milli>(ms));
+}
+
+std::size_t serverSockets(const NodeSettings& s) { return (s.descriptors - kSparedSockets) / 3; }
+
+burlwind::ClientServer::Limits clientLimits(const NodeSettings& s, const RequestLimits& limits) {
+  burlwind::ClientServer::Limits out;
+  out.connections = s.descriptors - kSparedSockets - serverSockets(s);
+  out.idleFor = std::chrono::milliseconds(std::lround(limits.idleTimeoutMs));
+  out.wholeWithin = std::chrono::milliseconds(std::lround(std::max(1.0, limits.headerTimeoutMs)));
+  out.mostHeader = std::max<std::size_t>(limits.headerBytes, 256);
+  out.mostBody = limits.bodyBytes;
+  return out;
+}
+
+burlwind::WorkerPool::Limits poolLimits(const NodeSettings& s) {
+  burlwind::WorkerPool::Limits out;
+  out.connectTimeout = 400ms;
+  out.idleFor = 7000ms;
+  out.total = serverSockets(s);
+  return out;
+}
+
+std::size_t budgetOf(const NodeSettings& s) {
+  return std::size_t{std::max(8u, s.memoryMb - std::min(s.memoryMb, kOwnMegabytes))} * (1 << 20) / 3;
+}
+
+const NodeSettings& checked(const NodeSettings& settings) {
+  if (!settings.frontend) throw SettingsError("listeners.frontend: is missing, the gateway role needs it");
+  if (settings.seeds.empty()) throw SettingsError("seedNodes: is empty");
+  return settings;
+}
+
+std::vector<Endpoint> candidates(const NodeSettings& settings) {
+  std::vector<Endpoint> out;
+  for (const Endpoint& seed : settings.seeds) out.emplace_back(seed.address(), controlPort(settings));
+  return out;
+}
+
+std::string_view pathOf(const ClientMessage& message) {
+  const std::string_view target = view(message.target());
+  return target.substr(0, target.find('?'));
+}
+
+// A request that names one of these twice means one thing to us and may mean another to a server.
+bool onceEach(const ClientMessage& message) {
+  for (const char* name : {"Host", "X-Api-Key", "X-Attempt-Id", "X-Deadline-Remaining-Ms"})
+    if (burlwind::countOf(message, name) > 1) return false;
+  return true;
+}
+
+Answer text(http::status status, const char* what) {
+  Answer out;
+  out.status = status;
+  out.body = std::string(what) + "\n";
+  out.fields = burlwind::plainText();
+  return out;
+}
+
+bool ranOf(Result result) {
+  return result != Result::full && result != Result::connectFailed && result != Result::moot;
+}
+
+}  // namespace
+
+Gateway::Gateway(boost::asio::io_context& io, const NodeSettings& settings, Log log)
+    : io_(io),
+      settings_(checked(settings)),
+      log_(std::move(log)),
+      budget_(budgetOf(settings)),
+      figures_({"idempotent", "non_idempotent", "download"}),
+      pool_(io, poolLimits(settings), budget_, figures_, answers_, *this,
+            [this](AttemptEnd&& end) { ended(std::move(end)); }),
+      server_(io, *settings.frontend, clientLimits(settings, {}), budget_, figures_, *this),
+      random_(std::hash<std::string>{}(settings.name)),
+      drain_(io) {
+  server_.listen();
+  server_.start();
+  readiness_.emplace(io_, *settings_.readiness, burlwind::CallServer::Limits{},
+                     [this](burlwind::CallServer::Call&& call, const burlwind::CallServer::Respond& respond) {
+                       const bool known = call.target() == "/api/readiness";
+                       respond(burlwind::callReply(!known    ? http::status::not_found
+                                                   : ready() ? http::status::ok
+                                                             : http::status::service_unavailable,
+                                                   ready() ? "ready\n" : "not ready\n"));
+                     });
+  follower_ = std::make_unique<Follower>(
+      io_, candidates(settings_), [this] { return asks(); },
+      [this](const FollowAnswer& answer, double sentAt) { news(answer, sentAt); }, log_);
+}
+
+Gateway::~Gateway() = default;
+
+Gateway::Time Gateway::now() const {
+  return std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now().time_since_epoch())
+      .count();
+}
+
+bool Gateway::mayServe() const {
+  return table_ && (!settings_.bounds.revocationGlobal || now() < leaseUntil_);
+}
+
+bool Gateway::ready() const { return !draining_ && listed_ && mayServe(); }
+
+void Gateway::reload(const NodeSettings& settings) {
+  follower_->add(candidates(settings));
+  log_("settings read");
+}
+
+void Gateway::drain(std::function<void()> done) {
+  draining_ = true;
+  server_.beginDrain();
+  drain_.expires_after(kAcceptAfterTerm);
+  drain_.async_wait([this, done = std::move(done)](const burlwind::Error& error) {
+    if (error) return;
+    server_.stopAccepting();
+    const double left = settings_.bounds.gracePeriodS * 1000 - kGraceKept -
+                        std::chrono::duration<double, std::milli>(kAcceptAfterTerm).count();
+    drain_.expires_after(span(std::max(0.0, left)));
+    drain_.async_wait([this](const burlwind::Error& late) {
+      if (!late) giveUpAll();
+    });
+    server_.whenEmpty(done);
+  });
+}
+
+// --- From the control plane
+// ------------------------------------------------------------------------------------
+
+FollowCall Gateway::asks() {
+  FollowCall out;
+  out.name = settings_.name;
+  out.epoch = epoch_;
+  out.place = place_;
+  out.revision = table_ ? table_->revision() : 0;
+  out.demands = admission_.demands(now());
+  return out;
+}
+
+void Gateway::news(const FollowAnswer& answer, double sentAt) {
+  fleet_ = answer.gatekeepers;
+  if (answer.news.configuration) configure(*answer.news.configuration);
+  if (answer.news.servers) servers(answer.news);
+  epoch_ = answer.epoch;
+  place_ = answer.news.place;
+  for (const ShareLedger::Grant& grant : answer.grants)
+    admission_.lend(now(), grant.tenant, grant.share, sentAt + kShareLease, answer.grant);
+  // Older than what is held here: that primary is behind, and its word renews nothing.
+  if (table_ && table_->revision() <= answer.news.revision)
+    leaseUntil_ = std::max(leaseUntil_, sentAt + settings_.bounds.revocationMs - kRevocationKept);
+}
+
+// Never back to an older version in one life of the process.
+void Gateway::configure(const std::string& body) {
+  auto read = parseConfiguration(body);
+  if (const auto* why = std::get_if<std::string>(&read)) return log_("a configuration is invalid: " + *why);
+  auto& configuration = std::get<Configuration>(read);
+  if (table_ && configuration.revision <= table_->revision()) return;
+  std::vector<std::string> limited;
+  for (const Tenant& tenant : configuration.tenants)
+    if (tenant.ratePerS > 0) limited.push_back(tenant.name);
+  admission_.limited(limited);
+  server_.limits(clientLimits(settings_, configuration.limits));
+  table_ = std::make_shared<const RouteTable>(std::move(configuration));
+  log_("configuration " + std::to_string(table_->revision()) + " is in force");
+}
+
+void Gateway::servers(const ChangeLog::News& news) {
+  std::map<std::string, bool> touched;  // services
+  if (news.snapshot) {
+    std::map<std::string, Instance> before;
+    before.swap(instances_);
+    for (const Instance& instance : news.set) instances_[instance.id] = instance;
+    for (const auto& [id, instance] : before) {
+      touched[instance.service] = true;
+      if (!instances_.contains(id)) pool_.retire(numberOf(id));
+    }
+  }
+  for (const Instance& instance : news.set) {
+    instances_[instance.id] = instance;
+    touched[instance.service] = true;
+    names_[numberOf(instance.id)] = instance.id;
+    if (instance.draining) {
+      pool_.retire(numberOf(instance.id));
+      continue;
+    }
+    try {
+      pool_.place(numberOf(instance.id), {parseAddress(instance.address, "address"), 0});
+    } catch (const SettingsError&) {
+      log_("a server's address cannot be read: " + instance.address);
+    }
+  }
+  for (const std::string& id : news.gone) {
+    const auto found = instances_.find(id);
+    if (found == instances_.end()) continue;
+    touched[found->second.service] = true;
+    instances_.erase(found);
+    pool_.retire(numberOf(id));
+  }
+  for (const auto& [service, yes] : touched) tellLane(service);
+  listed_ = true;
+}
+
+void Gateway::tellLane(const std::string& service) {
+  const auto lane = lanes_.find(service);
+  if (lane == lanes_.end()) return;
+  std::vector<Instance> list;
+  for (const auto& [id, instance] : instances_)
+    if (instance.service == service) list.push_back(instance);
+  lane->second->servers(now(), list);
+}
+
+std::shared_ptr<Lane> Gateway::laneOf(const std::string& service, unsigned kind) {
+  auto& lane = lanes_[service];
+  if (lane && lane->knows(kind)) return lane;
+  lane = std::make_shared<Lane>(settings_.zone, kinds_, fleet_ > 0 ? fleet_ : kGuessedFleet,
+                                random_ ^ numberOf(service), now(), static_cast<LaneHost&>(*this));
+  tellLane(service);
+  return lane;
+}
+
+// --- From the clients
+// --------------------------------------------------------------------------------------------
+
+std::variant<Call, Rejection> Gateway::read(const ClientMessage& head) {
+  constexpr auto bad = http::status::bad_request;
+  if (!burlwind::plainFraming(head)) return Rejection{bad, "the body's length is not told plainly"};
+  if (!onceEach(head)) return Rejection{bad, "a header is repeated"};
+  if (head.method() == http::verb::connect || head.method() == http::verb::head)
+    return Rejection{http::status::not_implemented, "no such method here"};
+  const std::string_view path = pathOf(head);
+  if (path.empty() || path.front() != '/' || head[http::field::host].empty())
+    return Rejection{bad, "no path or no host"};
+  if (!mayServe()) return Call{};  // take() says when to come back
+  const Route* route = table_->find(view(head[http::field::host]), path);
+  if (!route) return Rejection{http::status::not_found, "no such route"};
+  if (table_->needsKey(*route) && !table_->holder(view(head["X-Api-Key"])))
+    return Rejection{http::status::unauthorized, "unknown key"};
+  Call out;
+  out.klass = static_cast<unsigned>(route->type);
+  out.patience = route->timeoutMs;
+  if (const auto told = burlwind::number<double>(view(head["X-Deadline-Remaining-Ms"])))
+    out.patience = std::clamp(*told, 0.0, route->timeoutMs);
+  return out;
+}
+
+void Gateway::take(RequestId id, const Call& call, ClientMessage&& message,
+                   const std::shared_ptr<burlwind::Asker>& asker) {
+  const Time at = now();
+  const Route* route = nullptr;
+  const Tenant* tenant = nullptr;
+  if (mayServe()) route = table_->find(view(message[http::field::host]), pathOf(message));
+  if (!route) {
+    Answer out = text(http::status::service_unavailable, "not in touch with the control plane");
+    out.retryAfter = kNoLeaseRetryAfter;
+    return asker->answer(std::move(out));
+  }
+  if (table_->configuration().hasTenants) tenant = table_->holder(view(message["X-Api-Key"]));
+  if (tenant) {
+    const double chance =
+        static_cast<double>((random_ = random_ * 6364136223846793005ULL + 1) >> 11) * 0x1.0p-53;
+    if (const auto wait = admission_.ask(at, tenant->name, chance)) {
+      Answer out = text(http::status::too_many_requests, "over the quota");
+      out.retryAfter = *wait;
+      return asker->answer(std::move(out));
+    }
+  }
+  Held& held = held_.try_emplace(id, io_).first->second;
+  held.table = table_;
+  held.route = route;
+  if (tenant) held.tenant = tenant->name;
+  held.kind = kinds_.of(*route);
+  const double chance =
+      static_cast<double>((random_ = random_ * 6364136223846793005ULL + 1) >> 11) * 0x1.0p-53;
+  held.lane = laneOf(RouteTable::pickService(*route, chance), held.kind);
+  held.message = std::move(message);
+  held.asker = asker;
+  held.expires = at + std::max(0.0, call.patience - kWayBack);
+  held.deadline.expires_after(span(held.expires - at));
+  held.deadline.async_wait([this, id](const burlwind::Error& error) {
+    if (!error) expire(id);
+  });
+  irisring::Request request;
+  request.id = id;
+  request.klass = held.kind;
+  request.expires = held.expires;
+  const auto lane = held.lane;
+  lane->module().request(at, request);
+}
+
+void Gateway::left(RequestId id) {
+  const auto found = held_.find(id);
+  if (found == held_.end()) return;
+  const auto lane = found->second.lane;
+  release(found, true);
+  lane->module().clientLeft(now(), id);
+  if (auto end = pool_.giveUp(id, Result::cancelled)) ended(std::move(*end));
+}
+
+// The time is up: an attempt that is out has timed out, and the answer goes out now.
+void Gateway::expire(RequestId id) {
+  const auto found = held_.find(id);
+  if (found == held_.end()) return;
+  const auto lane = found->second.lane;
+  if (auto end = pool_.giveUp(id, Result::timeout)) {
+    found->second.mayHaveRun = found->second.mayHaveRun || ranOf(end->outcome.result);
+    out_.erase(id);
+    end->outcome.finished = false;
+    lane->module().outcome(std::max(now(), found->second.expires), end->outcome);
+  }
+  if (held_.contains(id)) giveUp(id, kRetryAfter);
+  lane->module().clientLeft(now(), id);
+}
+
+void Gateway::giveUpAll() {
+  while (!held_.empty()) {
+    const RequestId id = held_.begin()->first;
+    const auto lane = held_.begin()->second.lane;
+    if (auto end = pool_.giveUp(id, Result::cancelled)) {
+      held_.at(id).mayHaveRun = held_.at(id).mayHaveRun || ranOf(end->outcome.result);
+      out_.erase(id);
+      end->outcome.finished = true;
+      lane->module().outcome(now(), end->outcome);
+    }
+    if (held_.contains(id)) giveUp(id, kRetryAfter);
+    lane->module().clientLeft(now(), id);
+  }
+}
+
+// --- From the servers
+// ----------------------------------------------------------------------------------------------
+
+void Gateway::ended(AttemptEnd&& end) {
+  Outcome& outcome = end.outcome;
+  const RequestId id = outcome.id;
+  const auto out = out_.find(id);
+  if (out == out_.end()) return;
+  const auto lane = std::move(out->second);
+  out_.erase(out);
+  const auto found = held_.find(id);
+  outcome.finished = found == held_.end() || outcome.result == Result::ok;
+  if (found != held_.end()) {
+    Held& held = found->second;
+    held.mayHaveRun = held.mayHaveRun || ranOf(outcome.result);
+    if (outcome.result != Result::connectFailed && outcome.result != Result::moot) ++held.sent;
+    if (held.streams) {
+      outcome.finished = true;
+      endStream(id, outcome.result == Result::ok);
+    } else if (end.head) {
+      Answer served;
+      served.status = end.head->status;
+      served.fields = std::move(end.head->fields);
+      served.body = std::move(end.body);
+      if (outcome.result == Result::ok)
+        answer(id, std::move(served));
+      else
+        held.lastAnswer = std::move(served);
+    }
+    if (!outcome.finished && held_.contains(id) && held.sent >= held.route->maxAttempts) {
+      outcome.finished = true;
+      giveUp(id, kRetryAfter);
+    }
+  }
+  lane->module().outcome(now(), outcome);
+}
+
+bool Gateway::begun(RequestId id, const burlwind::AnswerHead& head) {
+  const auto found = held_.find(id);
+  if (found == held_.end()) return false;
+  found->second.streams = true;
+  found->second.deadline.cancel();
+  found->second.asker->begin(head);
+  return true;
+}
+
+void Gateway::piece(RequestId id, std::string&& bytes) {
+  const auto found = held_.find(id);
+  if (found != held_.end()) found->second.asker->piece(std::move(bytes));
+}
+
+void Gateway::endStream(RequestId id, bool whole) {
+  const auto found = held_.find(id);
+  const auto asker = std::move(found->second.asker);
+  release(found, true);
+  whole ? asker->finish() : asker->breakOff();
+}
+
+// --- What a lane asks for
+// ------------------------------------------------------------------------------------------
+
+// Once for all attempts. What concerns only the client's connection stays behind, and so does the key.
+void Gateway::prepare(Held& held) {
+  ClientMessage& message = held.message;
+  http::request<http::empty_body> out(message.method(), message.target(), 11);
+  if (message.method() == http::verb::unknown) out.method_string(message.method_string());
+  for (const auto& field : message) {
+    const auto name = field.name_string();
+    const bool own = ofConnection(message, name) || burlwind::beast::iequals(name, "X-Api-Key") ||
+                     burlwind::beast::iequals(name, "X-Tenant-Name") ||
+                     burlwind::beast::iequals(name, "X-Expected-Instance") ||
+                     burlwind::beast::iequals(name, "X-Deadline-Remaining-Ms");
+    if (!own) out.insert(name, field.value());
+  }
+  if (!held.tenant.empty()) out.set("X-Tenant-Name", held.tenant);
+  const bool bodiless = message.method() == http::verb::get && message.body().empty();
+  if (!bodiless) out.set(http::field::content_length, std::to_string(message.body().size()));
+  held.body = std::make_shared<const std::string>(std::move(message.body()));
+  burlwind::append(held.head, out);
+  held.head.resize(held.head.size() - 2);  // goes on with the attempt's own fields
+  message = {};
+}
+
+void Gateway::send(Lane& lane, RequestId id, WorkerId server, Time timeout) {
+  const auto found = held_.find(id);
+  if (found == held_.end()) return;
+  Held& held = found->second;
+  const Time left = held.expires - now();
+  out_[id] = lane.shared_from_this();
+  if (left <= 0) return reportMoot(id, held.attempts++, server);
+  const bool early = timeout > 0 && timeout < left;
+  if (!held.body) prepare(held);
+  burlwind::Message message{held.head, held.body, static_cast<unsigned>(held.route->type)};
+  message.head += "X-Expected-Instance: " + names_[server] + "\r\nX-Deadline-Remaining-Ms: " +
+                  std::to_string(std::max(1L, std::lround(std::floor(left)))) + "\r\n\r\n";
+  pool_.start(id, held.attempts++, server, std::move(message),
+              early ? std::optional(span(timeout)) : std::nullopt);
+}
+
+// No time is left: nothing is sent, and the module learns so from a handler of its own.
+void Gateway::reportMoot(RequestId id, unsigned attempt, WorkerId server) {
+  AttemptEnd end;
+  end.outcome.id = id;
+  end.outcome.attempt = attempt;
+  end.outcome.worker = server;
+  end.outcome.result = Result::moot;
+  boost::asio::post(io_, [this, end = std::move(end)]() mutable { ended(std::move(end)); });
+}
+
+void Gateway::refuse(RequestId id, Time retryAfter) { giveUp(id, retryAfter); }
+void Gateway::fail(RequestId id) { giveUp(id, kRetryAfter); }
+
+void Gateway::setTimer(Lane& lane, Time wait, std::uint64_t tag) {
+  auto timer = std::make_unique<boost::asio::steady_timer>(io_, span(wait));
+  auto& pending = *timer;
+  pending.async_wait(
+      [this, timer = std::move(timer), lane = lane.shared_from_this(), tag](const burlwind::Error& error) {
+        if (!error) lane->module().timer(now(), tag);
+      });
+}
+
+// --- The final answer
+// ------------------------------------------------------------------------------------------------
+
+// 503 promises that the request has not run and never will; where that is not known, nothing is promised.
+void Gateway::giveUp(RequestId id, Time retryAfter) {
+  const auto found = held_.find(id);
+  if (found == held_.end()) return;
+  Held& held = found->second;
+  if (held.lastAnswer) return answer(id, std::move(*held.lastAnswer));
+  if (held.mayHaveRun) {
+    const bool late = now() >= held.expires;
+    return answer(id, late ? text(http::status::gateway_timeout, "no answer in time")
+                           : text(http::status::bad_gateway, "no whole answer"));
+  }
+  Answer out = text(http::status::service_unavailable, "no server could take it");
+  out.retryAfter = retryAfter;
+  answer(id, std::move(out));
+}
+
+void Gateway::answer(RequestId id, Answer answer) {
+  const auto found = held_.find(id);
+  if (found == held_.end()) return;
+  if (found->second.streams) return endStream(id, false);  // too late for another
+  const auto asker = std::move(found->second.asker);
+  const bool ran = found->second.mayHaveRun;
+  release(found, ran);
+  asker->answer(std::move(answer));
+}
+
+void Gateway::release(HeldMap::iterator held, bool ran) {
+  if (!held->second.tenant.empty()) admission_.ended(now(), held->second.tenant, ran);
+  held_.erase(held);
+}
+
+}  // namespace lilacmux
--- /dev/null
+++ b/src/gateway/gateway.hpp
@@ -0,0 +1,130 @@
+// The gateway role: clients' requests, admitted by their tenant's share, routed by the newest configuration,
+// carried to a server that the service's lane chooses. Sockets are the inherited ones of src/node.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+#include "cli/settings.hpp"
+#include "gateway/admission.hpp"
+#include "gateway/follower.hpp"
+#include "gateway/lane.hpp"
+#include "gateway/routes.hpp"
+#include "gateway/server_answers.hpp"
+#include "net/call_server.hpp"
+#include "node/client_server.hpp"
+#include "node/worker_pool.hpp"
+
+namespace lilacmux {
+
+class Gateway : private burlwind::Holder, private burlwind::AnswerSink, private LaneHost {
+ public:
+  using Log = std::function<void(const std::string&)>;
+
+  // Throws SettingsError where the settings do not fit the role, std::runtime_error if it cannot listen.
+  Gateway(boost::asio::io_context& io, const NodeSettings& settings, Log log);
+  ~Gateway() override;
+
+  void reload(const NodeSettings& settings);
+  // Not ready from here on; finishes what is held, then calls `done`.
+  void drain(std::function<void()> done);
+  bool ready() const override;
+
+ private:
+  using RequestId = irisring::RequestId;
+  using Time = irisring::Time;
+
+  struct Held {
+    explicit Held(boost::asio::io_context& io) : deadline(io) {}
+    std::shared_ptr<const RouteTable> table;  // keeps the route
+    const Route* route = nullptr;
+    std::string tenant;  // empty: none
+    std::shared_ptr<Lane> lane;
+    unsigned kind = 0;
+    burlwind::ClientMessage message;  // until the first attempt, which makes the next two of it
+    std::string head;                 // as it goes on, but for the server's and the deadline's fields
+    std::shared_ptr<const std::string> body;
+    std::shared_ptr<burlwind::Asker> asker;
+    Time expires = 0;
+    boost::asio::steady_timer deadline;
+    unsigned attempts = 0;
+    unsigned sent = 0;  // of them, those that a server has got
+    bool mayHaveRun = false;
+    bool streams = false;                        // the client has an answer's begin
+    std::optional<burlwind::Answer> lastAnswer;  // a server's own failure, told if nothing better comes
+  };
+  using HeldMap = std::unordered_map<RequestId, Held>;
+
+  // burlwind::Holder
+  std::variant<burlwind::Call, burlwind::Rejection> read(const burlwind::ClientMessage& head) override;
+  RequestId nextId() override { return ++lastId_; }
+  void take(RequestId id, const burlwind::Call& call, burlwind::ClientMessage&& message,
+            const std::shared_ptr<burlwind::Asker>& asker) override;
+  void wantsMore(RequestId id) override { pool_.more(id); }
+  void left(RequestId id) override;
+
+  // burlwind::AnswerSink
+  bool begun(RequestId id, const burlwind::AnswerHead& head) override;
+  void piece(RequestId id, std::string&& bytes) override;
+
+  // LaneHost
+  void send(Lane& lane, RequestId id, irisring::WorkerId server, Time timeout) override;
+  void refuse(RequestId id, Time retryAfter) override;
+  void fail(RequestId id) override;
+  void setTimer(Lane& lane, Time wait, std::uint64_t tag) override;
+  void log(const std::string& line) override { log_(line); }
+
+  FollowCall asks();
+  void news(const FollowAnswer& answer, double sentAt);
+  void configure(const std::string& body);
+  void servers(const ChangeLog::News& news);
+  std::shared_ptr<Lane> laneOf(const std::string& service, unsigned kind);
+  void tellLane(const std::string& service);
+
+  void ended(burlwind::AttemptEnd&& end);
+  void reportMoot(RequestId id, unsigned attempt, irisring::WorkerId server);
+  void expire(RequestId id);
+  void giveUpAll();
+  void answer(RequestId id, burlwind::Answer answer);  // by value: it may stand in what is released
+  void giveUp(RequestId id, Time retryAfter);  // the last word where no server has answered well
+  void endStream(RequestId id, bool whole);
+  void release(HeldMap::iterator held, bool ran);
+  void prepare(Held& held);
+  bool mayServe() const;
+  Time now() const;
+
+  boost::asio::io_context& io_;
+  NodeSettings settings_;
+  const Log log_;
+  burlwind::Budget budget_;
+  burlwind::Figures figures_;
+  const ServerAnswers answers_;
+  burlwind::WorkerPool pool_;
+  burlwind::ClientServer server_;
+  std::optional<burlwind::CallServer> readiness_;
+  std::shared_ptr<const RouteTable> table_;
+  Kinds kinds_;
+  std::map<std::string, std::shared_ptr<Lane>> lanes_;  // by service
+  std::map<std::string, Instance> instances_;           // by id
+  std::unordered_map<irisring::WorkerId, std::string> names_;
+  std::unordered_map<RequestId, std::shared_ptr<Lane>> out_;  // attempts under way
+  HeldMap held_;
+  Admission admission_;
+  RequestId lastId_ = 0;
+  std::uint64_t epoch_ = 0, place_ = 0;
+  std::size_t fleet_ = 0;  // gatekeepers, as last told
+  bool listed_ = false;    // has had a list of servers
+  Time leaseUntil_ = -1;
+  std::uint64_t random_;
+  std::unique_ptr<Follower> follower_;
+  boost::asio::steady_timer drain_;
+  bool draining_ = false;
+};
+
+}  // namespace lilacmux
--- /dev/null
+++ b/src/gateway/lane.cpp
@@ -0,0 +1,67 @@
+#include "gateway/lane.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace lilacmux {
+namespace {
+
+constexpr double kZonePrice = 0.1;  // of a server in another zone; higher: one zone's servers fill up first
+constexpr irisring::Time kMostRetryAfter = 2000;
+constexpr unsigned kMostAttempts = 4;  // the route's own limit is held by the gateway
+constexpr double kLateWorth = 0.5;
+
+irisring::Settings settingsOf(const Kinds& kinds, std::size_t gatekeepers) {
+  irisring::Settings out;
+  out.gateways = static_cast<unsigned>(std::max<std::size_t>(1, gatekeepers));
+  out.zone = 0;
+  out.classes = kinds.settings();
+  out.plans.emplace_back();  // quotas are held at the front
+  out.maxAttempts = kMostAttempts;
+  out.maxRetryAfter = kMostRetryAfter;
+  out.crossZonePrice = kZonePrice;
+  return out;
+}
+
+}  // namespace
+
+unsigned Kinds::of(const Route& route) {
+  const auto [at, fresh] =
+      index_.try_emplace({route.type, route.aimMs}, static_cast<unsigned>(settings_.size()));
+  if (fresh) {
+    irisring::ClassSettings kind;
+    kind.aim = route.aimMs;
+    kind.deadline = route.timeoutMs;
+    kind.repeat = route.type == RouteType::nonIdempotent ? irisring::Repeat::unsafe : irisring::Repeat::safe;
+    kind.lateWorth = kLateWorth;
+    settings_.push_back(kind);
+  }
+  return at->second;
+}
+
+irisring::WorkerId numberOf(const std::string& instanceId) {
+  return XXH3_64bits(instanceId.data(), instanceId.size());
+}
+
+Lane::Lane(std::string zone, const Kinds& kinds, std::size_t gatekeepers, std::uint64_t salt,
+           irisring::Time now, LaneHost& host)
+    : zone_(std::move(zone)),
+      kinds_(kinds.settings().size()),
+      host_(host),
+      module_(std::make_unique<irisring::Gateway>(settingsOf(kinds, gatekeepers), salt, now,
+                                                  static_cast<irisring::Actions&>(*this))) {}
+
+void Lane::servers(irisring::Time now, const std::vector<Instance>& list) {
+  std::vector<irisring::Member> members;
+  for (const Instance& instance : list) {
+    irisring::Member member;
+    member.worker = numberOf(instance.id);
+    member.phase = instance.draining ? irisring::Phase::draining : irisring::Phase::ready;
+    member.zone = instance.zone == zone_ ? 0 : 1;
+    members.push_back(member);
+  }
+  module_->members(now, irisring::ListKind::full, members);
+}
+
+}  // namespace lilacmux
--- /dev/null
+++ b/src/gateway/lane.hpp
@@ -0,0 +1,70 @@
+// One service's servers: the decision module (include/irisring/decide.hpp) chooses among them, judges them
+// and repeats what may be repeated. A lane lives on until what it holds has ended, also where a newer one has
+// taken its place.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "control/change_log.hpp"
+#include "control/configuration.hpp"
+#include "irisring/decide.hpp"
+
+namespace lilacmux {
+
+class Lane;
+
+// What lanes ask of their host. None of these may call the lane back from within.
+class LaneHost {
+ public:
+  virtual ~LaneHost() = default;
+  virtual void send(Lane& lane, irisring::RequestId id, irisring::WorkerId server,
+                    irisring::Time timeout) = 0;
+  virtual void refuse(irisring::RequestId id, irisring::Time retryAfter) = 0;
+  virtual void fail(irisring::RequestId id) = 0;
+  virtual void setTimer(Lane& lane, irisring::Time wait, std::uint64_t tag) = 0;
+  virtual void log(const std::string& line) = 0;
+};
+
+// The kinds of requests that the module tells apart, by route type and aim. Kinds are only ever added.
+class Kinds {
+ public:
+  unsigned of(const Route& route);
+  const std::vector<irisring::ClassSettings>& settings() const { return settings_; }
+
+ private:
+  std::map<std::pair<RouteType, double>, unsigned> index_;
+  std::vector<irisring::ClassSettings> settings_;
+};
+
+// The same number at every gatekeeper.
+irisring::WorkerId numberOf(const std::string& instanceId);
+
+class Lane : public std::enable_shared_from_this<Lane>, private irisring::Actions {
+ public:
+  Lane(std::string zone, const Kinds& kinds, std::size_t gatekeepers, std::uint64_t salt, irisring::Time now,
+       LaneHost& host);
+
+  bool knows(unsigned kind) const { return kind < kinds_; }
+  void servers(irisring::Time now, const std::vector<Instance>& list);  // all of the service's
+  irisring::Gateway& module() { return *module_; }
+
+ private:
+  void send(irisring::RequestId id, irisring::WorkerId server, irisring::Time timeout) override {
+    host_.send(*this, id, server, timeout);
+  }
+  void refuse(irisring::RequestId id, irisring::Time retryAfter) override { host_.refuse(id, retryAfter); }
+  void fail(irisring::RequestId id) override { host_.fail(id); }
+  void setTimer(irisring::Time wait, std::uint64_t tag) override { host_.setTimer(*this, wait, tag); }
+  void subscribe() override {}
+  void log(const std::string& line) override { host_.log(line); }
+
+  const std::string zone_;
+  const std::size_t kinds_;
+  LaneHost& host_;
+  std::unique_ptr<irisring::Gateway> module_;
+};
+
+}  // namespace lilacmux
--- /dev/null
+++ b/src/gateway/server_answers.cpp
@@ -0,0 +1,39 @@
+#include "gateway/server_answers.hpp"
+
+#include <boost/beast/http/rfc7230.hpp>
+
+namespace lilacmux {
+
+namespace http = burlwind::http;
+using irisring::Result;
+
+bool ofConnection(const http::fields& fields, burlwind::beast::string_view name) {
+  for (const char* own :
+       {"Connection", "Keep-Alive", "Proxy-Connection", "TE", "Trailer", "Transfer-Encoding", "Upgrade",
+        "Expect", "Content-Length", "Proxy-Authenticate", "Proxy-Authorization"})
+    if (burlwind::beast::iequals(name, own)) return true;
+  const auto listed = fields[http::field::connection];
+  if (listed.empty()) return false;
+  for (const auto token : http::token_list(listed))
+    if (burlwind::beast::iequals(token, name)) return true;
+  return false;
+}
+
+Result ServerAnswers::read(const http::response_header<>& head, irisring::Outcome&) const {
+  const unsigned status = head.result_int();
+  if (burlwind::countOf(head, "X-Not-Executed") > 0 || status == 421) return Result::full;
+  if (status >= 500) return Result::error;
+  if (status >= 300) return Result::ok;  // an answer of the server's own, which goes on as it is
+  const bool whole =
+      burlwind::countOf(head, "X-Server-Seal") == 1 && burlwind::countOf(head, "Content-Encoding") == 0;
+  return whole ? Result::ok : Result::spoilt;
+}
+
+http::fields ServerAnswers::fieldsOf(const http::response_header<>& head) const {
+  http::fields out;
+  for (const auto& field : head)
+    if (!ofConnection(head, field.name_string())) out.insert(field.name_string(), field.value());
+  return out;
+}
+
+}  // namespace lilacmux
--- a/src/net/call_server.cpp
+++ b/src/net/call_server.cpp
@@ -76,9 +76,8 @@
   }
 
   void readBody() {
-    http::async_read(stream_, in_, parser_, guard([this](const Error& error, std::size_t) {
-                       error ? failed(error) : handle();
-                     }));
+    http::async_read(stream_, in_, parser_,
+                     guard([this](const Error& error, std::size_t) { error ? failed(error) : handle(); }));
   }
 
   // The handler answers now or later; the caller may have gone by then.
@@ -96,9 +95,9 @@
                       error.category() != make_error_code(http::error::bad_method).category();
     if (gone) return close();
     answer(callReply(error == http::error::body_limit     ? http::status::payload_too_large
-                 : error == http::error::header_limit ? http::status::request_header_fields_too_large
-                                                      : http::status::bad_request,
-                 "malformed call\n"));
+                     : error == http::error::header_limit ? http::status::request_header_fields_too_large
+                                                          : http::status::bad_request,
+                     "malformed call\n"));
   }
 
   void answer(CallReply&& text) {
@@ -134,7 +133,7 @@
 };
 
 CallServer::CallServer(asio::io_context& io, const tcp::endpoint& address, const Limits& limits,
-                                   Handler handler)
+                       Handler handler)
     : limits_(limits), handler_(std::move(handler)), acceptor_(io), pause_(io) {
   try {
     acceptor_.open(address.protocol());
--- a/src/net/call_server.hpp
+++ b/src/net/call_server.hpp
@@ -1,4 +1,5 @@
-// A small HTTP server for calls, not for traffic: one call a connection, answered or closed within a hard time.
+// A small HTTP server for calls, not for traffic: one call a connection, answered or closed within a hard
+// time.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
@@ -26,17 +27,17 @@
   using Handler = std::function<void(Call&&, const Respond&)>;
 
   struct Limits {
-    std::size_t connections = 12;                 // descriptors kept back for them
+    std::size_t connections = 12;  // descriptors kept back for them
     std::size_t mostBody = 4 * 1024;
-    std::chrono::milliseconds wholeWithin{1500};  // a call, from its connection's begin
+    std::chrono::milliseconds wholeWithin{1500};    // a call, from its connection's begin
     std::chrono::milliseconds handleWithin{10000};  // until the handler answers
     std::chrono::milliseconds answerWithin{1000};
     std::chrono::milliseconds lingerFor{200};
   };
 
   // Throws std::runtime_error if it cannot listen.
-  CallServer(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& address,
-                   const Limits& limits, Handler handler);
+  CallServer(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& address, const Limits& limits,
+             Handler handler);
   ~CallServer();
   CallServer(const CallServer&) = delete;
   CallServer& operator=(const CallServer&) = delete;
--- a/src/net/frames.cpp
+++ b/src/net/frames.cpp
@@ -64,7 +64,8 @@
   return Decoded::frame;
 }
 
-// --- Link ----------------------------------------------------------------------------------------------------
+// --- Link
+// ----------------------------------------------------------------------------------------------------
 
 void Link::start(OnFrame onFrame, OnEnd onEnd) {
   onFrame_ = std::move(onFrame);
@@ -131,7 +132,8 @@
   });
 }
 
-// --- FrameServer ---------------------------------------------------------------------------------------------
+// --- FrameServer
+// ---------------------------------------------------------------------------------------------
 
 FrameServer::FrameServer(asio::io_context& io, const tcp::endpoint& address, std::size_t connections,
                          Handler handler, Log log)
@@ -190,7 +192,8 @@
       });
 }
 
-// --- FrameClient ---------------------------------------------------------------------------------------------
+// --- FrameClient
+// ---------------------------------------------------------------------------------------------
 
 FrameClient::FrameClient(asio::io_context& io, const tcp::endpoint& peer)
     : io_(io), peer_(peer), connectBy_(io) {}
@@ -238,10 +241,13 @@
 
 void FrameClient::up(tcp::socket socket) {
   link_ = std::make_shared<Link>(std::move(socket));
-  link_->start([this, alive = alive_](Frame&& frame) { if (*alive) came(std::move(frame)); },
-               [this, alive = alive_, which = link_.get()](const char*) {
-                 if (*alive && link_.get() == which) down();
-               });
+  link_->start(
+      [this, alive = alive_](Frame&& frame) {
+        if (*alive) came(std::move(frame));
+      },
+      [this, alive = alive_, which = link_.get()](const char*) {
+        if (*alive && link_.get() == which) down();
+      });
   const auto early = std::move(early_);
   early_.clear();
   for (const Frame& frame : early)
@@ -264,8 +270,9 @@
 
 void FrameClient::came(Frame&& frame) {
   const auto number = frame.head.find(kCallField);
-  if (number != frame.head.end() && number->is_number_unsigned())
-    finish(number->get<std::uint64_t>(), std::move(frame));
+  if (number == frame.head.end() || !number->is_number_unsigned()) return;
+  const auto which = number->get<std::uint64_t>();
+  finish(which, std::move(frame));
 }
 
 void FrameClient::finish(std::uint64_t number, std::optional<Frame> answer) {
--- a/src/net/frames.hpp
+++ b/src/net/frames.hpp
@@ -90,8 +90,8 @@
   bool toldOfRubbish_ = false;
 };
 
-// Calls one peer over one connection, which comes up when it is needed. A call ends with the answer or, on any
-// failure, with nothing.
+// Calls one peer over one connection, which comes up when it is needed. A call ends with the answer or, on
+// any failure, with nothing.
 class FrameClient {
  public:
   using Done = std::function<void(std::optional<Frame>)>;
--- a/src/node/client_server.cpp
+++ b/src/node/client_server.cpp
@@ -75,6 +75,7 @@
     at_ = at;
     Error ignored;
     socket_.set_option(tcp::no_delay(true), ignored);
+    socket_.non_blocking(true, ignored);
     arm(server_.limits_.wholeWithin);
     read();
     server_.accept();
@@ -208,19 +209,24 @@
     server_.accept();
   }
 
-  // One read is pending in every state, so that the end of a client is seen while its request is held.
+  // One wait for bytes is pending in every state, so that the end of a client is seen while its request is
+  // held. Only a wait: bytes that were read ahead are parsed meanwhile, which moves the buffer.
   void read() {
     reading_ = true;
     if (in_.size() == 0 && in_.capacity() > 2 * kReadStep) in_.shrink_to_fit();
-    socket_.async_read_some(in_.prepare(kReadStep), guard([this](const Error& error, std::size_t n) {
-                              reading_ = false;
-                              if (error) return close();
-                              in_.commit(n);
-                              received_ += n;
-                              readAt_ = Clock::now();
-                              came(n);
-                              if (wantsMore()) read();
-                            }));
+    socket_.async_wait(tcp::socket::wait_read, guard([this](const Error& failed, std::size_t) {
+                         reading_ = false;
+                         if (failed) return close();
+                         Error error;
+                         const std::size_t n = socket_.read_some(in_.prepare(kReadStep), error);
+                         if (error == asio::error::would_block) return read();
+                         if (error) return close();
+                         in_.commit(n);
+                         received_ += n;
+                         readAt_ = Clock::now();
+                         came(n);
+                         if (!reading_ && wantsMore()) read();
+                       }));
   }
 
   bool wantsMore() const {
--- a/src/node/client_server.hpp
+++ b/src/node/client_server.hpp
@@ -82,8 +82,8 @@
     std::chrono::milliseconds retireAfter{1500};
   };
 
-  ClientServer(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& address, const Limits& limits,
-               Budget& budget, Figures& figures, Holder& holder);
+  ClientServer(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& address,
+               const Limits& limits, Budget& budget, Figures& figures, Holder& holder);
   ~ClientServer();
   ClientServer(const ClientServer&) = delete;
   ClientServer& operator=(const ClientServer&) = delete;
--- a/src/node/management.cpp
+++ b/src/node/management.cpp
@@ -3,7 +3,6 @@
 namespace burlwind {
 namespace {
 
-
 using Reply = CallReply;
 
 Reply wrongMethod(const char* allowed) {
