Let core members probe before they stand for election, and renew an epoch instead of leaving

Candidates: the bootstrap's order of starts; a lost frame; the store. A simulated core showed it: a member that had promised itself an epoch in vain outbid the primary every 0.6 s, and each refusal made the primary step down. Change: who would stand asks first who would vote, with its state weighed; a primary that a minority refuses goes on under a newer epoch, which goes over no voted one.

--- a/src/control/replica.cpp
+++ b/src/control/replica.cpp
@@ -88,6 +88,10 @@
       return onBeat(now, message);
     case Message::Kind::beatAck:
       return onBeatAck(now, message);
+    case Message::Kind::probe:
+      return onProbe(now, message);
+    case Message::Kind::wouldVote:
+      return onWouldVote(now, message);
     case Message::Kind::ask:
       return onAsk(now, message);
     case Message::Kind::vote:
@@ -150,8 +154,11 @@
   Message answer = make(Message::Kind::beatAck);
   answer.sentAt = message.sentAt;
   answer.epoch = durable_.promised;
+  // A record that was renewed without a vote must not go over one that a vote has made meanwhile.
   const bool stale = message.epoch < durable_.promised ||
-                     (message.epoch == durable_.promised && durable_.promisedTo != message.from);
+                     (message.epoch == durable_.promised && durable_.promisedTo != message.from) ||
+                     (message.record.renewed && message.epoch != durable_.record.epoch &&
+                      message.record.previous < durable_.record.epoch);
   if (stale) return host_.send(message.from, answer);
   if (primary_) stepDown("another primary has a newer epoch");
   leader_ = message.from;
@@ -173,12 +180,11 @@
 void Replica::onBeatAck(Millis now, const Message& message) {
   if (!primary_) return;
   if (!message.yes) {
-    if (message.epoch > durable_.record.epoch) {
-      seen_ = std::max(seen_, message.epoch);
-      stepDown("a member has promised a newer epoch");
-      standAfter_ = now + timing_.lease;
-    }
-    return;
+    // A member that has promised another epoch in vain would be lost to this one: it goes on under a newer
+    // one.
+    seen_ = std::max(seen_, message.epoch);
+    if (message.epoch < durable_.record.epoch || now - ledSince_ < timing_.renewEvery) return;
+    return lead(now, {nextEpoch(), durable_.record.epoch, true, self_, durable_.record.backup});
   }
   Peer& peer = peers_[message.from];
   peer.ackedSentAt = std::max(peer.ackedSentAt, message.sentAt);
@@ -187,12 +193,27 @@
   if (message.epoch == durable_.record.epoch && !settled_ && syncAt_ < ledSince_) sendSync(now);
 }
 
+void Replica::onProbe(Millis now, const Message& message) {
+  if (!isMember()) return;
+  Message answer = make(Message::Kind::wouldVote);
+  answer.yes = !isLoyal(now) && !learning_;
+  answer.epoch = durable_.promised;
+  host_.send(message.from, answer);
+}
+
+void Replica::onWouldVote(Millis now, const Message& message) {
+  seen_ = std::max(seen_, message.epoch);
+  if (!ballot_ || ballot_->asked || !message.yes) return;
+  ballot_->votes[message.from] = message;
+  if (ballot_->votes.size() + 1 >= majority() && eligible(ballot_->votes)) stand(now);
+}
+
 void Replica::onAsk(Millis now, const Message& message) {
   if (!isMember()) return;
   Message answer = make(Message::Kind::vote);
   answer.epoch = durable_.promised;
-  const bool loyal = primary_ ? now < leaseUntil(now) : owes(now);
-  if (message.epoch <= durable_.promised || loyal || learning_) return host_.send(message.from, answer);
+  if (message.epoch <= durable_.promised || isLoyal(now) || learning_)
+    return host_.send(message.from, answer);
   if (primary_) stepDown("its lease has run out and another stands for election");
   durable_.promised = message.epoch;
   durable_.promisedTo = message.from;
@@ -206,7 +227,7 @@
 
 void Replica::onVote(Millis now, const Message& message) {
   if (!message.yes) seen_ = std::max(seen_, message.epoch);
-  if (!ballot_ || !message.yes || message.epoch != ballot_->epoch) return;
+  if (!ballot_ || !ballot_->asked || !message.yes || message.epoch != ballot_->epoch) return;
   ballot_->votes[message.from] = message;
   if (ballot_->votes.size() + 1 < majority()) return;
   const Ballot won = std::move(*ballot_);
@@ -219,7 +240,7 @@
     peers_[from].heardAt = now;
     if (backup.empty() || vote.dataEpoch > won.votes.at(backup).dataEpoch) backup = from;
   }
-  lead(now, won.epoch, previous, backup);
+  lead(now, {won.epoch, previous, false, self_, backup});
 }
 
 // Whether this node has all that was ever committed. A primary of the newest record that any majority knows
@@ -269,12 +290,17 @@
 // --- As a primary
 // --------------------------------------------------------------------------------------------
 
-void Replica::lead(Millis now, std::uint64_t epoch, std::uint64_t previous, const NodeId& backup) {
-  durable_.promised = epoch;
+std::uint64_t Replica::nextEpoch() const {
+  return std::max({durable_.promised, durable_.record.epoch, seen_}) + 1;
+}
+
+void Replica::lead(Millis now, const Record& record) {
+  durable_.promised = record.epoch;
   durable_.promisedTo = self_;
-  durable_.record = {epoch, previous, self_, backup};
-  durable_.dataEpoch = epoch;
+  durable_.record = record;
+  durable_.dataEpoch = record.epoch;
   if (!keep()) return;
+  if (!primary_) electedAt_ = now;
   primary_ = true;
   settled_ = false;
   leader_ = self_;
@@ -299,7 +325,7 @@
       ++it;
     }
   }
-  if (now >= std::max(leaseUntil(now), ledSince_ + timing_.lease)) {
+  if (now >= std::max(leaseUntil(now), electedAt_ + timing_.lease)) {
     stepDown("no majority has answered for a lease's time");
     standAfter_ = now + timing_.stagger;
     return;
@@ -311,7 +337,7 @@
   const NodeId other = chooseBackup(now);
   if (other.empty()) return;
   host_.log("the backup is silent: " + other + " takes its place");
-  lead(now, std::max(durable_.promised, durable_.record.epoch) + 1, durable_.record.epoch, other);
+  lead(now, {nextEpoch(), durable_.record.epoch, true, self_, other});
 }
 
 NodeId Replica::chooseBackup(Millis now) const {
@@ -373,19 +399,22 @@
   }
   if (now < standAfter_) return;
   leader_.clear();
-  stand(now);
+  probe(now);
 }
 
-void Replica::stand(Millis now) {
-  if (!eligible({}) && durable_.record.backup != self_) {
-    // It may still be the only one left that has the state; the votes will tell. Others go first.
-    if (now < standAfter_ + timing_.lease) return;
-  }
+// Asks who would vote before it promises itself anything, so that a member that cannot win, since the others
+// are loyal or have newer state, disturbs nobody.
+void Replica::probe(Millis now) {
   standAfter_ = 0;
-  durable_.promised = std::max({durable_.promised, durable_.record.epoch, seen_}) + 1;
+  ballot_ = Ballot{false, 0, now, {}};
+  broadcast(make(Message::Kind::probe));
+}
+
+void Replica::stand(Millis now) {
+  durable_.promised = nextEpoch();
   durable_.promisedTo = self_;
   if (!keep()) return;
-  ballot_ = Ballot{durable_.promised, now, {}};
+  ballot_ = Ballot{true, durable_.promised, now, {}};
   Message ask = make(Message::Kind::ask);
   ask.epoch = durable_.promised;
   broadcast(ask);
--- a/src/control/replica.hpp
+++ b/src/control/replica.hpp
@@ -33,6 +33,7 @@
 struct Record {
   std::uint64_t epoch = 0;
   std::uint64_t previous = 0;  // the epoch whose state its primary started from
+  bool renewed = false;        // by the primary of the epoch before, without a vote
   NodeId primary, backup;
 };
 
@@ -47,7 +48,7 @@
 };
 
 struct Message {
-  enum class Kind { hello, beat, beatAck, ask, vote, sync, synced, resign };
+  enum class Kind { hello, beat, beatAck, probe, wouldVote, ask, vote, sync, synced, resign };
   Kind kind = Kind::hello;
   NodeId from;
   std::uint64_t epoch = 0;
@@ -81,6 +82,7 @@
     Millis backupSilent = 900;  // then another member becomes the backup
     Millis listenFirst = 2000;  // an empty disk: only listens for so long
     Millis resync = 400;
+    Millis renewEvery = 500;  // an epoch, for members that have promised another
   };
 
   // `seeds`: the control nodes that were told, this one included or not. `bootstrap`: the whole system starts
@@ -114,6 +116,7 @@
     std::uint64_t tookEpoch = 0;
   };
   struct Ballot {
+    bool asked = false;  // else it only probes who would vote
     std::uint64_t epoch = 0;
     Millis since = 0;
     std::map<NodeId, Message> votes;
@@ -130,6 +133,8 @@
   void onHello(Millis now, const Message& message);
   void onBeat(Millis now, const Message& message);
   void onBeatAck(Millis now, const Message& message);
+  void onProbe(Millis now, const Message& message);
+  void onWouldVote(Millis now, const Message& message);
   void onAsk(Millis now, const Message& message);
   void onVote(Millis now, const Message& message);
   void onSync(Millis now, const Message& message);
@@ -137,8 +142,11 @@
 
   void tickPrimary(Millis now);
   void tickFollower(Millis now);
+  void probe(Millis now);
   void stand(Millis now);
-  void lead(Millis now, std::uint64_t epoch, std::uint64_t previous, const NodeId& backup);
+  bool isLoyal(Millis now) const { return primary_ ? now < leaseUntil(now) : owes(now); }
+  std::uint64_t nextEpoch() const;
+  void lead(Millis now, const Record& record);
   void sendSync(Millis now);
   void stepDown(const std::string& why);
   NodeId chooseBackup(Millis now) const;
@@ -167,7 +175,8 @@
   std::shared_ptr<State> committed_;
   std::map<NodeId, Peer> peers_;
   std::map<NodeId, Millis> observers_;
-  Millis beatAt_ = -1e18, syncAt_ = -1e18, ledSince_ = 0;
+  Millis beatAt_ = -1e18, syncAt_ = -1e18;
+  Millis ledSince_ = 0, electedAt_ = 0;  // under this record; at all
 };
 
 }  // namespace lilacmux
--- a/src/control/wire.cpp
+++ b/src/control/wire.cpp
@@ -6,13 +6,14 @@
 using nlohmann::json;
 
 constexpr const char* kKind = "t";
-constexpr const char* kNames[] = {"hello", "beat", "beat-ack", "ask", "vote", "sync", "synced", "resign"};
+constexpr const char* kNames[] = {"hello", "beat", "beat-ack", "probe",  "would-vote",
+                                  "ask",   "vote", "sync",     "synced", "resign"};
 
-json recordOf(const Record& r) { return json::array({r.epoch, r.previous, r.primary, r.backup}); }
+json recordOf(const Record& r) { return json::array({r.epoch, r.previous, r.renewed, r.primary, r.backup}); }
 
 Record recordFrom(const json& in) {
-  return {in.at(0).get<std::uint64_t>(), in.at(1).get<std::uint64_t>(), in.at(2).get<std::string>(),
-          in.at(3).get<std::string>()};
+  return {in.at(0).get<std::uint64_t>(), in.at(1).get<std::uint64_t>(), in.at(2).get<bool>(),
+          in.at(3).get<std::string>(), in.at(4).get<std::string>()};
 }
 
 std::string kindOf(const Frame& frame) {
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -92,7 +92,7 @@
   void expire(RequestId id);
   void giveUpAll();
   void answer(RequestId id, burlwind::Answer answer);  // by value: it may stand in what is released
-  void giveUp(RequestId id, Time retryAfter);  // the last word where no server has answered well
+  void giveUp(RequestId id, Time retryAfter);          // the last word where no server has answered well
   void endStream(RequestId id, bool whole);
   void release(HeldMap::iterator held, bool ran);
   void prepare(Held& held);
--- /dev/null
+++ b/tests/system/replica_test.cpp
@@ -0,0 +1,162 @@
+// Who leads, what an acknowledged change survives, and that the core comes to rest again.
+#include "core_world.hpp"
+
+namespace lilacmux::test {
+namespace {
+
+constexpr Millis kTakeover = 4000;
+
+TEST(Replica, AFreshCoreLeadsSoonWhateverOrderItsMembersStartIn) {
+  for (std::uint64_t seed = 0; seed < 100; ++seed) {
+    CoreWorld world(seed);
+    std::vector<NodeId> order = world.names();
+    for (std::size_t i = order.size(); i > 1; --i)
+      std::swap(order[i - 1], order[static_cast<std::size_t>(world.chance() * static_cast<double>(i))]);
+    for (const NodeId& name : order) {
+      world.start(name, true);
+      world.run(400 * world.chance());
+    }
+    ASSERT_TRUE(world.settle(3000)) << "seed " << seed;
+    world.run(5000);
+    ASSERT_TRUE(world.server()) << "seed " << seed;
+    for (const NodeId& name : world.names()) EXPECT_EQ(world.at(name).leader(), *world.server());
+  }
+}
+
+// Two members stood for election at once and promised themselves the same epoch: the one that lost must come
+// back to the one that won, not outbid it for ever.
+TEST(Replica, AMemberThatPromisedItselfTheSameEpochJoinsTheWinner) {
+  CoreWorld world(1);
+  const auto& names = world.names();
+  world.start(names[0], true);
+  world.run(700);  // stands alone
+  world.start(names[1], true);
+  world.start(names[2], true);
+  ASSERT_TRUE(world.settle(3000));
+  const auto first = world.server();
+  world.run(10000);
+  EXPECT_EQ(world.server(), first) << "the primary changed without cause";
+  for (const NodeId& name : names)
+    EXPECT_EQ(world.at(name).durable().record.epoch, world.at(*first).epoch()) << name << " is left out";
+}
+
+TEST(Replica, TheBackupTakesOverWithAllThatWasAcknowledged) {
+  for (std::uint64_t seed = 0; seed < 40; ++seed) {
+    CoreWorld world(seed);
+    world.startAll();
+    ASSERT_TRUE(world.settle(3000));
+    for (int i = 0; i < 3; ++i) {
+      ASSERT_TRUE(world.propose());
+      world.run(100);
+    }
+    ASSERT_EQ(world.acknowledged, 3u);
+    const NodeId dead = *world.server();
+    world.kill(dead);
+    ASSERT_TRUE(world.settle(kTakeover)) << "seed " << seed;
+    EXPECT_EQ(world.at(*world.server()).committed().revision, 3u);
+    world.start(dead, false);
+    world.run(4000);
+    ASSERT_TRUE(world.server());
+    EXPECT_EQ(world.at(dead).leader(), *world.server());
+  }
+}
+
+TEST(Replica, APrimaryThatLeavesInOrderIsFollowedAtOnce) {
+  CoreWorld world(3);
+  world.startAll();
+  ASSERT_TRUE(world.settle(3000));
+  ASSERT_TRUE(world.propose());
+  world.run(100);
+  const NodeId leaves = *world.server();
+  world.at(leaves).resign(world.now());
+  EXPECT_TRUE(world.settle(800));
+  EXPECT_NE(world.server(), leaves);
+}
+
+TEST(Replica, ASilentBackupIsReplacedAndItsReturnLosesNothing) {
+  CoreWorld world(4);
+  world.startAll();
+  ASSERT_TRUE(world.settle(3000));
+  const NodeId primary = *world.server(), backup = world.at(primary).durable().record.backup;
+  world.kill(backup);
+  ASSERT_TRUE(world.propose());
+  world.run(2000);  // seen, replaced, given the state
+  EXPECT_EQ(world.acknowledged, 1u);
+  world.start(backup, false);
+  world.run(3000);
+  world.kill(primary);
+  ASSERT_TRUE(world.settle(kTakeover));
+  EXPECT_EQ(world.at(*world.server()).committed().revision, 1u);
+}
+
+TEST(Replica, ACutOffPrimaryServesNoLongerThanItsLease) {
+  CoreWorld world(5);
+  world.startAll();
+  ASSERT_TRUE(world.settle(3000));
+  const NodeId old = *world.server();
+  world.cut(old, true);
+  world.run(Replica::Timing{}.lease);
+  EXPECT_FALSE(world.at(old).mayServe(world.now()));
+  ASSERT_TRUE(world.settle(kTakeover));
+  EXPECT_NE(*world.server(), old);
+  world.cut(old, false);
+  world.run(4000);
+  EXPECT_EQ(world.at(old).leader(), *world.server());
+}
+
+TEST(Replica, AMemberThatLostItsDiskComesBackAndTheCoreBearsTheNextLoss) {
+  for (std::uint64_t seed = 0; seed < 40; ++seed) {
+    CoreWorld world(seed);
+    world.startAll();
+    ASSERT_TRUE(world.settle(3000));
+    ASSERT_TRUE(world.propose());
+    world.run(200);
+    const NodeId wiped = world.names()[seed % 3];
+    world.kill(wiped);
+    world.wipe(wiped);
+    world.run(1000 * world.chance());
+    world.start(wiped, false);
+    world.run(6000);
+    ASSERT_TRUE(world.server()) << "seed " << seed;
+    world.kill(*world.server());
+    ASSERT_TRUE(world.settle(2 * kTakeover)) << "seed " << seed;
+    EXPECT_EQ(world.at(*world.server()).committed().revision, 1u);
+  }
+}
+
+TEST(Replica, AllKilledAtOnceComeBackWithWhatWasAcknowledged) {
+  CoreWorld world(6);
+  world.startAll();
+  ASSERT_TRUE(world.settle(3000));
+  ASSERT_TRUE(world.propose());
+  world.run(200);
+  for (const NodeId& name : world.names()) world.kill(name);
+  world.run(500);
+  for (const NodeId& name : world.names()) world.start(name, false);
+  ASSERT_TRUE(world.settle(kTakeover));
+  EXPECT_EQ(world.at(*world.server()).committed().revision, 1u);
+}
+
+// One loss at a time, at any moment, with lossy links and changes all along: never two that serve, never old
+// state, and rest within seconds once the trouble is over.
+TEST(Replica, BearsOneLossAtATimeWhenever) {
+  for (std::uint64_t seed = 0; seed < 60; ++seed) {
+    CoreWorld world(seed);
+    world.startAll();
+    world.loss(seed % 3 == 0 ? 0.05 : 0);
+    for (int round = 0; round < 8; ++round) {
+      const NodeId victim = world.names()[static_cast<std::size_t>(3 * world.chance())];
+      const bool cutOnly = world.chance() < 0.4;
+      cutOnly ? world.cut(victim, true) : world.kill(victim);
+      for (int i = 0; i < 12; ++i) world.propose(), world.run(300 * world.chance());
+      cutOnly ? world.cut(victim, false) : world.start(victim, false);
+      for (int i = 0; i < 6; ++i) world.propose(), world.run(500);
+      ASSERT_TRUE(world.settle(6000)) << "seed " << seed << " round " << round;
+    }
+    EXPECT_GT(world.commits, 8u);
+    if (testing::Test::HasFailure()) FAIL() << "seed " << seed;
+  }
+}
+
+}  // namespace
+}  // namespace lilacmux::test
