Hold answers' time against the timeout where the module looks for crowded servers

Ruled out: servers full (none said so), too few connections. Change: the lanes' classes carry the timeout as the module's aim.

--- a/src/gateway/lane.cpp
+++ b/src/gateway/lane.cpp
@@ -28,10 +28,12 @@
 
 unsigned Kinds::of(const Route& route) {
   const auto [at, fresh] =
-      index_.try_emplace({route.type, route.aimMs}, static_cast<unsigned>(settings_.size()));
+      index_.try_emplace({route.type, std::max(route.aimMs, route.timeoutMs)}, static_cast<unsigned>(settings_.size()));
   if (fresh) {
     irisring::ClassSettings kind;
-    kind.aim = route.aimMs;
+    // The module takes half an aim for a wait at a crowded server and cuts what it lets out. The services here
+    // take that long on requests of their own, so it is held against what the operator allows instead.
+    kind.aim = std::max(route.aimMs, route.timeoutMs);
     kind.deadline = route.timeoutMs;
     kind.repeat = route.type == RouteType::nonIdempotent ? irisring::Repeat::unsafe : irisring::Repeat::safe;
     kind.lateWorth = kLateWorth;
