Hand the tenants' tokens out from one bucket to small stocks, asked for before they are empty

Change: the primary keeps one bucket a tenant; gatekeepers hold stocks sized by demand and ask for more when low; a lent rate serves while nothing is heard, and the ledger reserves it for whoever is silent.

--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -21,7 +21,6 @@
 constexpr std::size_t kMostTaken = 64;  // fingerprints kept
 constexpr std::size_t kMostConfiguration = 8 << 20;
 constexpr std::size_t kLinks = 512;  // of gatekeepers and members
-constexpr Millis kShareLease = 4000;
 constexpr const char* kPack = "application/msgpack";
 
 std::uint64_t fingerprint(std::string_view body) { return XXH3_64bits(body.data(), body.size()); }
@@ -131,8 +130,9 @@
 void ControlNode::lead(const State& state) {
   if (!changes_) {
     changes_ = std::make_unique<ChangeLog>(replica_->epoch());
-    const Millis quiet = state.sequence == 0 ? now() : now() + kShareLease;
-    shares_ = std::make_unique<ShareLedger>(kShareLease, quiet);
+    const ShareLedger::Timing timing;
+    const Millis quiet = state.sequence == 0 ? now() : now() + timing.lease;
+    shares_ = std::make_unique<ShareLedger>(timing, now(), quiet);
     watchPlatform();
   }
   changes_->configuration(state.revision, state.body);
@@ -145,7 +145,7 @@
       for (const Tenant& tenant : configuration->tenants)
         if (tenant.ratePerS > 0) quotas[tenant.name] = rule.within(tenant.ratePerS, tenant.burst);
   }
-  shares_->limits(std::move(quotas));
+  shares_->limits(now(), quotas);
 }
 
 void ControlNode::watchPlatform() {
--- a/src/control/shares.hpp
+++ b/src/control/shares.hpp
@@ -1,6 +1,8 @@
-// Shares of the tenants' quotas, lent to gatekeepers for a time: the rate and the burst that one of them may
-// let in. What is lent at any moment, to all together and counting what a silent one may still use, never
-// sums to more than the tenant's limit; so the limit holds whoever is cut off. A state machine without a
+// Shares of the tenants' quotas. The primary keeps one bucket a tenant and hands its tokens out to the
+// gatekeepers, each of which holds a small stock, sized by its demand, and asks for more before it is empty.
+// Beside that each is lent a part of the tenant's rate, which it goes by only while it hears nothing. What is
+// in the bucket, in all stocks, and what silent gatekeepers may go by never exceeds the limit together, so
+// the limit holds whoever is cut off; a stock and a lent rate end by themselves. A state machine without a
 // clock.
 #pragma once
 
@@ -11,71 +13,85 @@
 
 namespace lilacmux {
 
-struct Share {
+// What may be let in of one tenant in all.
+struct Quota {
   double rate = 0;   // requests a second
   double burst = 0;  // requests at once
 };
 
-// What may be lent of one tenant in all.
-struct Quota {
-  double rate = 0;
-  double burst = 0;
-};
-
-// The most that the rule allows within its window, put into a rate and a burst: what the operators allow
-// beyond the limit itself is used for bursts, which many small buckets need more of than one large one.
+// The most that the rule allows within its window, put into a rate and a burst.
 struct QuotaRule {
   double windowS = 5;
   double overage = 0;
   double slack = 0;
-  double kept = 0.3;  // of what the rule allows beyond the limit, not used
+  double kept = 0.35;  // of what the rule allows beyond the limit, not used
   Quota within(double ratePerS, double burst) const;
 };
 
 class ShareLedger {
  public:
   using Millis = double;
+
+  // Both sides go by these.
+  struct Timing {
+    Millis lease = 4000;         // a gatekeeper's stock and rate end so long after it last asked
+    Millis aloneAfter = 600;     // after it last asked, one that has heard nothing goes by its lent rate
+    Millis reservedAfter = 450;  // and the ledger counts on that from here on
+  };
+
+  // What a gatekeeper says of one tenant.
   struct Demand {
     std::string tenant;
     double perS = 0;          // requests that came lately, let in or not
-    Share held;               // what the gatekeeper goes by
-    std::uint64_t grant = 0;  // the number of the grant that told it so; 0: none
+    double stock = 0;         // tokens that it holds
+    double rate = 0;          // its lent rate
+    std::uint64_t grant = 0;  // the newest grant that it has taken in; 0: none
   };
   struct Grant {
     std::string tenant;
-    Share share;
+    double tokens = 0;  // to be added to the stock; below 0: to be given back
+    double rate = 0;    // lent
   };
 
-  // `quietUntil`: until then shares that are unknown to this ledger may be out, so that only what gatekeepers
-  // say they hold is lent on.
-  ShareLedger(Millis lease, Millis quietUntil) : lease_(lease), quietUntil_(quietUntil) {}
+  // `quietUntil`: until then gatekeepers that this ledger does not know may go by rates that another has
+  // lent, so only the rates of those that it hears from fill the buckets.
+  ShareLedger(const Timing& timing, Millis now, Millis quietUntil)
+      : timing_(timing), quietUntil_(quietUntil), at_(now) {}
 
-  void limits(std::map<std::string, Quota> quotas);
-  // One gatekeeper's turn. The shares are its own for `lease` ms from when it asked; `grant` numbers them.
+  void limits(Millis now, const std::map<std::string, Quota>& quotas);
+  // One gatekeeper's turn.
   std::vector<Grant> turn(Millis now, const std::string& gatekeeper, const std::vector<Demand>& demands,
                           std::uint64_t& grant);
-  double lent(Millis now, const std::string& tenant) const;  // the rate that is out
+  // All that could be let in at this moment: the bucket, the stocks, and what is on its way.
+  double outstanding(const std::string& tenant) const;
   std::size_t gatekeepers(Millis now) const;
 
  private:
   struct Holding {
     double perS = 0;
-    Share confirmed;  // it may go by this one
-    Share offered;    // or by this one, once it has come through
+    double stock = 0;
+    double given = 0;  // on its way, until it is confirmed
+    double rate = 0, offered = 0;
     std::uint64_t grant = 0;
-    Millis until = 0;
-    Share most() const;
+    Millis heardAt = 0;
   };
   struct Ledger {
     Quota quota;
+    double bucket = 0;
     std::map<std::string, Holding> holdings;  // by gatekeeper
+    double out() const;                       // in stocks and on the way
   };
-  Share want(const Ledger& ledger, const std::string& gatekeeper) const;
-  Share lend(Millis now, Ledger& ledger, const std::string& gatekeeper) const;
+  void advance(Millis now);
+  void fill(Ledger& ledger, Millis now) const;
+  void hear(Ledger& ledger, Holding& holding, const Demand* demand, bool known) const;
+  double rateFor(const Ledger& ledger, const std::string& gatekeeper) const;
+  double tokensFor(const Ledger& ledger, const Holding& holding) const;
 
-  const Millis lease_, quietUntil_;
+  const Timing timing_;
+  const Millis quietUntil_;
+  Millis at_;
   std::map<std::string, Ledger> ledgers_;  // by tenant
-  std::map<std::string, Millis> seen_;     // gatekeepers
+  std::map<std::string, Millis> heard_;    // gatekeepers
   std::uint64_t lastGrant_ = 0;
 };
 
--- a/src/control/wire.cpp
+++ b/src/control/wire.cpp
@@ -89,8 +89,7 @@
 Frame toFrame(const FollowCall& call) {
   Frame out;
   json demands = json::array();
-  for (const auto& d : call.demands)
-    demands.push_back({d.tenant, d.perS, d.held.rate, d.held.burst, d.grant});
+  for (const auto& d : call.demands) demands.push_back({d.tenant, d.perS, d.stock, d.rate, d.grant});
   out.head = {{kKind, "follow"},     {"name", call.name},         {"epoch", call.epoch},
               {"place", call.place}, {"revision", call.revision}, {"demands", demands}};
   return out;
@@ -106,10 +105,8 @@
     in.at("place").get_to(out.place);
     in.at("revision").get_to(out.revision);
     for (const json& d : in.at("demands"))
-      out.demands.push_back({d.at(0).get<std::string>(),
-                             d.at(1).get<double>(),
-                             {d.at(2).get<double>(), d.at(3).get<double>()},
-                             d.at(4).get<std::uint64_t>()});
+      out.demands.push_back({d.at(0).get<std::string>(), d.at(1).get<double>(), d.at(2).get<double>(),
+                             d.at(3).get<double>(), d.at(4).get<std::uint64_t>()});
     return out;
   });
 }
@@ -129,7 +126,7 @@
     out.head["gone"] = a.news.gone;
   }
   json grants = json::array();
-  for (const auto& g : a.grants) grants.push_back({g.tenant, g.share.rate, g.share.burst});
+  for (const auto& g : a.grants) grants.push_back({g.tenant, g.tokens, g.rate});
   if (!grants.empty()) out.head["grants"] = std::move(grants);
   if (a.news.configuration) {
     out.head["configuration"] = true;
@@ -161,7 +158,7 @@
     }
     if (in.contains("grants"))
       for (const json& g : in.at("grants"))
-        out.grants.push_back({g.at(0).get<std::string>(), {g.at(1).get<double>(), g.at(2).get<double>()}});
+        out.grants.push_back({g.at(0).get<std::string>(), g.at(1).get<double>(), g.at(2).get<double>()});
     if (in.contains("configuration"))
       out.news.configuration = std::make_shared<const std::string>(std::move(frame.body));
     return out;
--- a/src/gateway/admission.cpp
+++ b/src/gateway/admission.cpp
@@ -7,11 +7,14 @@
 namespace lilacmux {
 namespace {
 
-constexpr double kFractionFloor = 0.05;  // the design's
-constexpr double kPeriod = 1000;         // ms of use that one reading tells of
-constexpr double kClimb = 5000;          // ms from the floor back to 1 without readings
-constexpr double kNoShareWait = 300;     // ms advised where no share is held
-constexpr double kMostWait = 2000;
+constexpr double kFractionFloor = 0.05;              // the design's
+constexpr double kPeriod = 1000;                     // ms of use that one reading tells of
+constexpr double kClimb = 5000;                      // ms from the floor back to 1 without readings
+constexpr double kAloneBurst = 4;                    // tokens that a lent rate alone saves up
+constexpr double kLeastWait = 40, kMostWait = 2000;  // ms advised
+constexpr double kLowS = 0.15;       // seconds of demand in the stock under which more is asked for
+constexpr double kLow = 1;           // and tokens
+constexpr double kDemandSpan = 200;  // ms that a word on demand stands for at least
 
 }  // namespace
 
@@ -33,16 +36,19 @@
   return table_.back();
 }
 
-// A bucket starts empty and a share that has run out fills nothing: what another may hold by now is not used
-// here as well.
+// A bucket starts empty. While nothing is heard it fills at the lent rate, and when the lease is over it is
+// empty for good: what another may hold by then is not used here as well.
 void Admission::fill(Bucket& b, Millis now) {
-  const Millis to = std::min(now, b.until);
-  if (to > b.at) {
-    const double seconds = (to - b.at) / 1000;
-    b.tokens = irisring::refilled(b.tokens, b.share.rate, b.share.burst, seconds);
-    b.store = irisring::refilled(b.store, b.share.rate, b.share.burst, seconds);
+  const Millis from = std::max(b.at, b.sentAt + timing_.aloneAfter);
+  const Millis to = std::min(now, b.sentAt + timing_.lease);
+  if (to > from) {
+    const double cap = std::max(b.tokens, kAloneBurst + b.rate);
+    const double filled = irisring::refilled(b.tokens, b.rate, cap, (to - from) / 1000);
+    b.store += filled - b.tokens;
+    b.due += filled - b.tokens;
+    b.tokens = filled;
   }
-  if (now >= b.until) b.tokens = 0;
+  if (now >= b.sentAt + timing_.lease) b.tokens = b.store = 0;
   meter(b, now);
   b.at = std::max(b.at, now);
 }
@@ -50,14 +56,13 @@
 // The use that was admitted here and seen answered, in percent of the share, at the end of each period.
 void Admission::meter(Bucket& b, Millis now) {
   if (now - b.periodFrom < kPeriod) return;
-  const double due = b.share.rate * (now - b.periodFrom) / 1000;
-  if (b.used > 0 && due > 0) {
-    const double percent = 100 * b.used / due;
-    b.fraction = std::clamp(b.fraction * 100 / percent, kFractionFloor, 1.0);
+  if (b.used > 0 && b.due > 0) {
+    b.fraction = std::clamp(b.fraction * b.due / b.used, kFractionFloor, 1.0);
     b.readAt = now;
   } else if (now - b.readAt > 2 * kPeriod) {
     b.fraction = irisring::climbed(b.fraction, now - b.periodFrom, kClimb);
   }
+  b.due = std::max(0.0, b.tokens);
   b.used = 0;
   b.periodFrom = now;
 }
@@ -66,9 +71,10 @@
   if (!limited_.contains(tenant)) return std::nullopt;
   Bucket& b = lookUp(now, tenant);
   b.asked += 1;
-  if (now >= b.until || b.share.rate <= 0) return kNoShareWait;
-  if (b.tokens < 1) return std::clamp(1000 * (1 - b.tokens) / b.share.rate, 1.0, kMostWait);
-  if (b.store < 1 && chance >= b.fraction) return std::clamp(1000 / b.share.rate, 1.0, kMostWait);
+  const double wait = std::clamp(1000 * (1 - b.tokens) / std::max(b.rate, 0.1), kLeastWait, kMostWait);
+  low_ = low_ || b.tokens - 1 < kLow + kLowS * b.perS;
+  if (b.tokens < 1) return wait;
+  if (b.store < 1 && chance >= b.fraction) return wait;
   b.tokens -= 1;
   return std::nullopt;
 }
@@ -81,36 +87,38 @@
   if (ran) {
     b.used += 1;
     b.store -= 1;
-  } else if (now < b.until) {
-    b.tokens = std::min(std::max(b.tokens, b.share.burst), b.tokens + 1);
+  } else if (now < b.sentAt + timing_.lease) {
+    b.tokens += 1;
   }
 }
 
 void Admission::limited(const std::vector<std::string>& tenants) {
-  limited_.clear();
-  for (const std::string& tenant : tenants) limited_[tenant] = true;
+  limited_ = {tenants.begin(), tenants.end()};
 }
 
-void Admission::lend(Millis now, const std::string& tenant, const Share& share, Millis until,
-                     std::uint64_t grant) {
-  Bucket& b = lookUp(now, tenant);
-  b.share = share;
-  b.until = until;
-  b.grant = grant;
-  b.tokens = std::min(b.tokens, share.burst);
-  b.store = std::min(b.store, share.burst);
+void Admission::take(Millis now, const ShareLedger::Grant& grant, Millis sentAt, std::uint64_t number) {
+  Bucket& b = lookUp(now, grant.tenant);
+  b.rate = grant.rate;
+  b.sentAt = sentAt;
+  b.grant = number;
+  b.tokens += grant.tokens;
+  b.store += grant.tokens;
+  b.due += std::max(0.0, grant.tokens);
 }
 
 std::vector<ShareLedger::Demand> Admission::demands(Millis now) {
+  low_ = false;
   std::vector<ShareLedger::Demand> out;
   for (Bucket& b : table_) {
     if (!limited_.contains(b.tenant)) continue;
-    const bool held = now < b.until;
-    const double seconds = std::max(0.05, (now - b.askedFrom) / 1000);
-    if (b.asked > 0 || held)
-      out.push_back({b.tenant, b.asked / seconds, held ? b.share : Share{}, held ? b.grant : 0});
-    b.asked = 0;
-    b.askedFrom = now;
+    fill(b, now);
+    const Millis span = now - b.askedFrom;
+    if (span >= kDemandSpan) {
+      b.perS = 1000 * b.asked / span;
+      b.asked = 0;
+      b.askedFrom = now;
+    }
+    out.push_back({b.tenant, b.perS, b.tokens, b.rate, b.grant});
   }
   return out;
 }
--- a/src/gateway/admission.hpp
+++ b/src/gateway/admission.hpp
@@ -1,5 +1,5 @@
-// Admission at one gatekeeper, at the front of the request's path: a token bucket a tenant, of the size of
-// the share that the control plane has lent, and the admit fraction that metered use feeds. A state machine
+// Admission at one gatekeeper, at the front of the request's path: a token bucket a tenant, which holds the
+// stock that the control plane has handed out, and the admit fraction that metered use feeds. A state machine
 // without a clock; times are ms of the host's steady clock.
 #pragma once
 
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "control/shares.hpp"
@@ -24,11 +25,13 @@
   std::optional<Millis> ask(Millis now, const std::string& tenant, double chance);
   // An admitted request ended. Where it is known not to have run its token comes back.
   void ended(Millis now, const std::string& tenant, bool ran);
+  // Whether some tenant's stock is so low that more should be asked for at once.
+  bool isLow() const { return low_; }
 
   // The tenants that have a limit in the configuration in force; all others pass.
   void limited(const std::vector<std::string>& tenants);
-  // A share, good until then; after that the tenant has none.
-  void lend(Millis now, const std::string& tenant, const Share& share, Millis until, std::uint64_t grant);
+  // What the control plane has answered to a call that was sent then.
+  void take(Millis now, const ShareLedger::Grant& grant, Millis sentAt, std::uint64_t number);
   // What came of each tenant lately, for the control plane. Starts counting anew.
   std::vector<ShareLedger::Demand> demands(Millis now);
 
@@ -37,26 +40,28 @@
  private:
   struct Bucket {
     std::string tenant;
-    Share share;
-    Millis until = -1;  // the share's end
+    double tokens = 0;      // the stock
+    double rate = 0;        // lent, for when nothing is heard
+    Millis sentAt = -1e18;  // of the call that was answered last
     std::uint64_t grant = 0;
-    Millis at = 0;  // filled up to here
-    double tokens = 0;
-    double store = 0;  // estimate of what the share leaves, by what was seen answered
+    Millis at = 0;     // filled up to here
+    double store = 0;  // estimate of the stock by what was seen answered
     double fraction = 1;
-    double used = 0;  // of the metered period: admitted here and seen answered
-    Millis periodFrom = 0;
-    Millis readAt = 0;
-    double asked = 0;  // since the last word to the control plane
+    double due = 0, used = 0;  // of the metered period: handed out, and admitted and seen answered
+    Millis periodFrom = 0, readAt = 0;
+    double asked = 0;  // since `askedFrom`
     Millis askedFrom = 0;
+    double perS = 0;
   };
   Bucket& lookUp(Millis now, const std::string& tenant);
   void fill(Bucket& bucket, Millis now);
   void meter(Bucket& bucket, Millis now);
 
-  std::unordered_map<std::string, bool> limited_;
+  const ShareLedger::Timing timing_;
+  std::unordered_set<std::string> limited_;
   std::list<Bucket> table_;  // the most recently used last
   std::unordered_map<std::string, std::list<Bucket>::iterator> index_;
+  bool low_ = false;
 };
 
 }  // namespace lilacmux
--- a/src/gateway/follower.cpp
+++ b/src/gateway/follower.cpp
@@ -9,7 +9,8 @@
 
 using namespace std::chrono_literals;
 
-constexpr auto kEvery = 250ms;  // longer: changes and shares come later; shorter: more work for all
+constexpr auto kEvery = 250ms;    // longer: changes and shares come later; shorter: more work for all
+constexpr auto kLeastGap = 20ms;  // between two calls, however low a stock is
 constexpr auto kAnswerWithin = 700ms;
 constexpr auto kAfterFailure = 60ms;
 constexpr auto kNobodyLeads = 120ms;
@@ -46,6 +47,13 @@
   });
 }
 
+void Follower::hurry() {
+  if (!waits_) return;
+  waits_ = false;
+  const auto due = askedAt_ + kLeastGap - std::chrono::steady_clock::now();
+  again(std::max(0ms, std::chrono::ceil<std::chrono::milliseconds>(due)));
+}
+
 void Follower::go(const Endpoint& to) {
   if (client_ && client_->peer() == to) return;
   // The client's own handler may be what is running.
@@ -60,7 +68,9 @@
 }
 
 void Follower::poll() {
+  waits_ = false;
   if (!client_) return again(kEvery);
+  askedAt_ = std::chrono::steady_clock::now();
   const Millis sentAt = nowMs();
   client_->call(toFrame(asks_()), kAnswerWithin,
                 [this, sentAt](std::optional<Frame> frame) { answered(std::move(frame), sentAt); });
@@ -89,6 +99,7 @@
   add({client_->peer()});
   news_(*answer, sentAt);
   again(kEvery);
+  waits_ = true;
 }
 
 }  // namespace lilacmux
--- a/src/gateway/follower.hpp
+++ b/src/gateway/follower.hpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <string>
@@ -25,6 +26,8 @@
   using Log = std::function<void(const std::string&)>;
 
   Follower(boost::asio::io_context& io, std::vector<Endpoint> candidates, Asks asks, News news, Log log);
+  // Asks again soon, ahead of its time.
+  void hurry();
   // Other places to ask, beside those that are known.
   void add(const std::vector<Endpoint>& candidates);
 
@@ -44,6 +47,8 @@
   const News news_;
   const Log log_;
   unsigned failures_ = 0;
+  bool waits_ = false;  // for its time to ask, which may be brought forward
+  std::chrono::steady_clock::time_point askedAt_;
 };
 
 }  // namespace lilacmux
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -21,7 +21,6 @@
 using irisring::WorkerId;
 
 constexpr double kWayBack = 12;          // ms kept for the way back to the client
-constexpr double kShareLease = 4000;     // ms; the control plane counts on no more
 constexpr double kRevocationKept = 800;  // ms of the bound on taken keys that are not used
 constexpr double kRetryAfter = 250;      // ms advised where nothing better is known
 constexpr double kNoLeaseRetryAfter = 500;
@@ -178,8 +177,7 @@
   if (answer.news.servers) servers(answer.news);
   epoch_ = answer.epoch;
   place_ = answer.news.place;
-  for (const ShareLedger::Grant& grant : answer.grants)
-    admission_.lend(now(), grant.tenant, grant.share, sentAt + kShareLease, answer.grant);
+  for (const ShareLedger::Grant& grant : answer.grants) admission_.take(now(), grant, sentAt, answer.grant);
   // Older than what is held here: that primary is behind, and its word renews nothing.
   if (table_ && table_->revision() <= answer.news.revision)
     leaseUntil_ = std::max(leaseUntil_, sentAt + settings_.bounds.revocationMs - kRevocationKept);
@@ -294,7 +292,9 @@
   if (tenant) {
     const double chance =
         static_cast<double>((random_ = random_ * 6364136223846793005ULL + 1) >> 11) * 0x1.0p-53;
-    if (const auto wait = admission_.ask(at, tenant->name, chance)) {
+    const auto wait = admission_.ask(at, tenant->name, chance);
+    if (admission_.isLow()) follower_->hurry();
+    if (wait) {
       Answer out = text(http::status::too_many_requests, "over the quota");
       out.retryAfter = *wait;
       return asker->answer(std::move(out));
--- a/src/gateway/lane.cpp
+++ b/src/gateway/lane.cpp
@@ -27,12 +27,12 @@
 }  // namespace
 
 unsigned Kinds::of(const Route& route) {
-  const auto [at, fresh] =
-      index_.try_emplace({route.type, std::max(route.aimMs, route.timeoutMs)}, static_cast<unsigned>(settings_.size()));
+  const auto [at, fresh] = index_.try_emplace({route.type, std::max(route.aimMs, route.timeoutMs)},
+                                              static_cast<unsigned>(settings_.size()));
   if (fresh) {
     irisring::ClassSettings kind;
-    // The module takes half an aim for a wait at a crowded server and cuts what it lets out. The services here
-    // take that long on requests of their own, so it is held against what the operator allows instead.
+    // The module takes half an aim for a wait at a crowded server and cuts what it lets out. The services
+    // here take that long on requests of their own, so it is held against what the operator allows instead.
     kind.aim = std::max(route.aimMs, route.timeoutMs);
     kind.deadline = route.timeoutMs;
     kind.repeat = route.type == RouteType::nonIdempotent ? irisring::Repeat::unsafe : irisring::Repeat::safe;
