Send pipelined reads on at once and answer them in their order

Change: a request that has come whole behind another, has no body and may be repeated is held beside it (16 at most); its answer waits for its turn.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -25,6 +25,7 @@
 constexpr double kRetryAfter = 250;      // ms advised where nothing better is known
 constexpr double kNoLeaseRetryAfter = 500;
 constexpr std::size_t kSparedSockets = 240;  // the bench's and the program's own
+constexpr std::size_t kAhead = 16;           // requests of one client held at once, beside the next
 constexpr unsigned kOwnMegabytes = 40;
 constexpr std::size_t kGuessedFleet = 8;   // gatekeepers, until the control plane has told
 constexpr auto kAcceptAfterTerm = 2800ms;  // the platform notices within two misses, a second each
@@ -40,6 +41,7 @@
 burlwind::ClientServer::Limits clientLimits(const NodeSettings& s, const RequestLimits& limits) {
   burlwind::ClientServer::Limits out;
   out.connections = s.descriptors - kSparedSockets - serverSockets(s);
+  out.ahead = kAhead;
   out.idleFor = std::chrono::milliseconds(std::lround(limits.idleTimeoutMs));
   out.wholeWithin = std::chrono::milliseconds(std::lround(std::max(1.0, limits.headerTimeoutMs)));
   out.mostHeader = std::max<std::size_t>(limits.headerBytes, 256);
@@ -271,6 +273,7 @@
     return Rejection{http::status::unauthorized, "unknown key"};
   Call out;
   out.klass = static_cast<unsigned>(route->type);
+  out.repeatable = route->type != RouteType::nonIdempotent;
   out.patience = route->timeoutMs;
   if (const auto told = burlwind::number<double>(view(head["X-Deadline-Remaining-Ms"])))
     out.patience = std::clamp(*told, 0.0, route->timeoutMs);
--- a/src/node/call.hpp
+++ b/src/node/call.hpp
@@ -19,7 +19,8 @@
   irisring::Time patience = 0;  // how long the client waits from when it sent the request
   double units = 1;
   unsigned setSize = 1;
-  unsigned first = 0;  // gateway of the set
+  unsigned first = 0;       // gateway of the set
+  bool repeatable = false;  // may be held ahead of its turn: if the connection ends first it may run again
 };
 
 struct Rejection {
--- a/src/node/client_server.cpp
+++ b/src/node/client_server.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/asio/write.hpp>
 #include <charconv>
+#include <deque>
 #include <optional>
 #include <stdexcept>
 #include <utility>
@@ -64,7 +65,36 @@
 
 }  // namespace
 
-// One client connection: one request at a time, in the order in which they come. A request is checked by its
+// A request read ahead of its turn. What comes of it stands here until then.
+class ClientServer::Ahead : public Asker {
+ public:
+  Ahead(std::shared_ptr<Connection> connection, irisring::RequestId number, const Call& what)
+      : id(number), call(what), connection_(std::move(connection)) {}
+
+  void answer(Answer&& answer) override;
+  void begin(const AnswerHead& head) override;
+  void piece(std::string&& bytes) override;
+  void finish() override;
+  void breakOff() override;
+
+  // Its turn has come: hands on what is there, and from here on all that comes.
+  void turn();
+  bool ended() const { return answer_ || finished_ || broken_; }
+  void forget() { connection_.reset(); }
+
+  const irisring::RequestId id;
+  const Call call;
+
+ private:
+  std::shared_ptr<Connection> connection_;  // until it has ended
+  bool its_ = false;                        // its turn
+  std::optional<Answer> answer_;
+  std::optional<AnswerHead> begun_;
+  std::optional<std::string> piece_;
+  bool finished_ = false, broken_ = false;
+};
+
+// One client connection: requests are answered in the order in which they come. A request is checked by its
 // head, so that what is wrong is turned away before its body has come; the connection ends with that.
 class ClientServer::Connection : public Asker, public std::enable_shared_from_this<Connection> {
  public:
@@ -86,7 +116,7 @@
     http::response<http::empty_body> head(answer.status, 11);
     take(head, answer.fields);
     if (answer.retryAfter > 0) head.set(http::field::retry_after, seconds(answer.retryAfter));
-    last_ = last_ || server_.draining_ || server_.away_ || server_.retired_;
+    last_ = last_ || (ending() && ahead_.empty());
     head.keep_alive(!last_);
     head.content_length(answer.body.size());
     state_ = State::answering;
@@ -103,7 +133,7 @@
     take(head, begun.fields);
     const auto length = begun.length;
     chunked_ = !length && version_ >= 11;
-    last_ = last_ || server_.draining_ || server_.away_ || server_.retired_ || (!length && !chunked_);
+    last_ = last_ || (ending() && ahead_.empty()) || (!length && !chunked_);
     head.keep_alive(!last_);
     if (length) head.content_length(*length);
     if (chunked_) head.chunked(true);
@@ -141,9 +171,15 @@
     if (state_ == State::closed) return;
     const bool held = state_ == State::held || state_ == State::streaming;
     const auto self = shared_from_this();
+    const auto ahead = std::move(ahead_);
     abandon();
     server_.remove(standing_, at_);
     if (held) server_.holder_.left(id_);
+    for (const auto& each : ahead) {
+      const bool open = !each->ended();
+      each->forget();
+      if (open) server_.holder_.left(each->id);
+    }
   }
 
   // Ends it and tells nobody.
@@ -235,7 +271,10 @@
 
   void came(std::size_t n) {
     if (state_ == State::reading) return parse();
-    if (state_ != State::lingering) return arrivals_.note(received_, readAt_);
+    if (state_ != State::lingering) {
+      arrivals_.note(received_, readAt_);
+      return lookAhead();
+    }
     in_.clear();
     lingered_ += n;
     if (lingered_ > server_.limits_.lingerBytes) close();
@@ -284,6 +323,8 @@
     return true;
   }
 
+  bool ending() const { return server_.draining_ || server_.away_ || server_.retired_; }
+
   bool isHealth(const ClientMessage& message) const {
     return server_.holder_.asksReadiness(message) && plainFraming(message);
   }
@@ -320,6 +361,47 @@
     state_ = State::held;
     id_ = server_.holder_.nextId();
     server_.holder_.take(id_, *call_, std::move(message), shared_from_this());
+    lookAhead();
+  }
+
+  // Hands over what has come whole behind the request whose turn it is, as long as that needs nothing of the
+  // connection but its answer's place.
+  void lookAhead() {
+    const bool held = state_ == State::held || state_ == State::streaming || state_ == State::answering;
+    while (held && ahead_.size() < server_.limits_.ahead && !last_ && !ending() && in_.size() > 0) {
+      http::request_parser<http::string_body> parser;
+      parser.header_limit(static_cast<std::uint32_t>(server_.limits_.mostHeader));
+      parser.body_limit(0);
+      Error error;
+      const std::size_t used = parser.put(in_.data(), error);
+      if (error || !parser.is_done()) return;  // it waits for its turn, where what is wrong is told
+      const ClientMessage& message = parser.get();
+      if (!message.keep_alive() || message.version() < 11 || message.method() != http::verb::get) return;
+      const auto read = server_.holder_.read(message);
+      const auto* call = std::get_if<Call>(&read);
+      if (!call || !call->repeatable || isHealth(message)) return;
+      in_.consume(used);
+      Call mine = *call;
+      const auto came = arrivals_.of(received_ - in_.size(), readAt_);
+      mine.patience -= std::chrono::duration<double, std::milli>(Clock::now() - came).count();
+      const auto next = std::make_shared<Ahead>(shared_from_this(), server_.holder_.nextId(), mine);
+      ahead_.push_back(next);
+      server_.holder_.take(next->id, mine, parser.release(), next);
+    }
+  }
+
+  // The next of those that were read ahead.
+  void turn() {
+    const auto next = std::move(ahead_.front());
+    ahead_.pop_front();
+    id_ = next->id;
+    call_ = next->call;
+    version_ = 11;
+    state_ = State::held;
+    timer_.cancel();
+    next->turn();
+    lookAhead();
+    if (!reading_ && wantsMore()) read();
   }
 
   void sayReady(http::verb method) {
@@ -373,6 +455,7 @@
     if (call_) server_.figures_.ended(call_->klass, status_);
     body_ = {};
     if (last_) return linger();
+    if (!ahead_.empty()) return turn();
     listen();
     if (in_.size() > 0) parse();
     if (!reading_ && wantsMore()) read();
@@ -397,6 +480,7 @@
   beast::flat_buffer in_;
   std::optional<http::request_parser<http::string_body>> parser_;  // from a request's first byte on
   std::optional<Call> call_;                                       // once its head is read
+  std::deque<std::shared_ptr<Ahead>> ahead_;                       // in the order of their turns
   std::string out_, writing_, body_;
   State state_ = State::reading;
   http::status status_ = http::status::ok;  // of the answer under way
@@ -416,6 +500,43 @@
   std::size_t bodyFrom_ = 0;
 };
 
+void ClientServer::Ahead::answer(Answer&& answer) {
+  if (its_ && connection_) return std::exchange(connection_, nullptr)->answer(std::move(answer));
+  answer_ = std::move(answer);
+}
+
+void ClientServer::Ahead::begin(const AnswerHead& head) {
+  if (its_ && connection_) return connection_->begin(head);
+  begun_ = head;
+}
+
+void ClientServer::Ahead::piece(std::string&& bytes) {
+  if (its_ && connection_) return connection_->piece(std::move(bytes));
+  piece_ = std::move(bytes);
+}
+
+void ClientServer::Ahead::finish() {
+  if (its_ && connection_) return std::exchange(connection_, nullptr)->finish();
+  finished_ = true;
+}
+
+void ClientServer::Ahead::breakOff() {
+  if (its_ && connection_) return std::exchange(connection_, nullptr)->breakOff();
+  broken_ = true;
+}
+
+void ClientServer::Ahead::turn() {
+  its_ = true;
+  const auto connection = connection_;
+  if (ended()) connection_.reset();
+  if (answer_) return connection->answer(std::move(*answer_));
+  if (!begun_) return;
+  connection->begin(*begun_);
+  if (broken_) return connection->breakOff();
+  if (piece_) return connection->piece(std::move(*piece_));  // one at most: the next is asked for
+  if (finished_) connection->finish();
+}
+
 ClientServer::ClientServer(asio::io_context& io, const tcp::endpoint& address, const Limits& limits,
                            Budget& budget, Figures& figures, Holder& holder)
     : address_(address),
--- a/src/node/client_server.hpp
+++ b/src/node/client_server.hpp
@@ -72,6 +72,9 @@
     std::chrono::milliseconds bodyWithin{1000};
     std::size_t bodyBytesPerSecond = 32 * 1024;
     std::chrono::milliseconds writeWithin{10000};  // an answer, or a piece of a large one
+    // Requests that may be held beside the one whose answer is next; their answers wait for their turn. Only
+    // such as have no body. 0: one request at a time.
+    std::size_t ahead = 0;
     std::size_t mostHeader = kMostHeader;
     std::size_t mostBody = kMostBody;
     std::chrono::milliseconds lingerFor{400};
@@ -119,6 +122,7 @@
   std::size_t active() const { return connections_[busy].size(); }  // requests that have not ended
 
  private:
+  class Ahead;
   class Connection;
   using Connections = std::list<std::shared_ptr<Connection>>;
   // What a connection is at, in the order in which they make room: no whole request yet, or its end; between
