--- a/src/control/shares.cpp
+++ b/src/control/shares.cpp
@@ -7,11 +7,11 @@
 namespace {
 
 constexpr double kDoubt = 0.04;  // of the rate, over the gatekeepers: what each is held to ask for at least
-constexpr double kNews = 0.5;    // weight of a new word on demand against the one before
 constexpr double kStockS = 0.5;  // seconds of its demand that a gatekeeper's stock covers
 constexpr double kStockRoots = 1.5;  // and so many roots of its demand, for chance
 constexpr double kLeastStock = 2;
-constexpr double kTakeBack = 1;  // tokens over what is wanted that stay where they are
+constexpr double kInStocks = 0.7;  // of the burst at most; the rest goes at once to whoever runs low
+constexpr double kTakeBack = 0.5;  // tokens over what is wanted that stay where they are
 constexpr double kRateBeyond =
     0.2;  // of the room beyond the limit that goes to the rate, the rest to the burst
 
@@ -94,7 +94,7 @@
   }
   mine.given = 0;
   mine.stock = demand ? demand->stock : 0;
-  mine.perS += (known ? kNews : 1) * ((demand ? demand->perS : 0) - mine.perS);
+  mine.perS = demand ? demand->perS : 0;
   ledger.bucket = std::min(ledger.bucket, std::max(0.0, ledger.quota.burst - ledger.out()));
 }
 
@@ -122,7 +122,7 @@
     wants += want(holding);
     demand += holding.perS;
   }
-  const double part = ledger.quota.burst * want(mine) / std::max(wants, 1e-9);
+  const double part = kInStocks * ledger.quota.burst * want(mine) / std::max(wants, 1e-9);
   const double target = std::max(1.0, std::min(want(mine), part));
   const double missing = target - mine.stock;
   if (missing < 0) return missing < -kTakeBack ? missing : 0;
--- a/src/gateway/admission.cpp
+++ b/src/gateway/admission.cpp
@@ -1,6 +1,7 @@
 #include "gateway/admission.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 #include "bucket.hpp"
 
@@ -14,6 +15,7 @@
 constexpr double kLeastWait = 40, kMostWait = 2000;  // ms advised
 constexpr double kLowS = 0.15;       // seconds of demand in the stock under which more is asked for
 constexpr double kLow = 1;           // and tokens
+constexpr double kDemandTau = 1000;  // ms, memory of demand; shorter: one request looks like a crowd
 constexpr double kDemandSpan = 200;  // ms that a word on demand stands for at least
 
 }  // namespace
@@ -114,7 +116,7 @@
     fill(b, now);
     const Millis span = now - b.askedFrom;
     if (span >= kDemandSpan) {
-      b.perS = 1000 * b.asked / span;
+      b.perS += (1000 * b.asked / span - b.perS) * (1 - std::exp(-span / kDemandTau));
       b.asked = 0;
       b.askedFrom = now;
     }
--- a/src/gateway/follower.cpp
+++ b/src/gateway/follower.cpp
@@ -10,7 +10,7 @@
 using namespace std::chrono_literals;
 
 constexpr auto kEvery = 250ms;    // longer: changes and shares come later; shorter: more work for all
-constexpr auto kLeastGap = 20ms;  // between two calls, however low a stock is
+constexpr auto kLeastGap = 10ms;  // between two calls, however low a stock is
 constexpr auto kAnswerWithin = 700ms;
 constexpr auto kAfterFailure = 60ms;
 constexpr auto kNobodyLeads = 120ms;
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -10,12 +10,17 @@
 [ -e /usr/include/gtest/gtest.h ] || need+=(libgtest-dev)
 [ -e /usr/include/boost/beast/http.hpp ] || need+=(libboost-dev)
 [ -e /usr/include/nlohmann/json.hpp ] || need+=(nlohmann-json3-dev)
+[ -e /usr/include/CLI/CLI.hpp ] || need+=(libcli11-dev)
+[ -e /usr/include/leveldb/db.h ] || need+=(libleveldb-dev)
+[ -e /usr/include/spdlog/spdlog.h ] || need+=(libspdlog-dev)
+[ -e /usr/include/xxhash.h ] || need+=(libxxhash-dev)
 if [ ${#need[@]} -gt 0 ]; then
   apt-get update -qq
   DEBIAN_FRONTEND=noninteractive apt-get install -y -qq "${need[@]}"
 fi
 
-clang-format --dry-run --Werror src/*.cpp src/*.hpp src/node/*.cpp src/node/*.hpp include/irisring/*.hpp tests/*.cpp tests/*.hpp tests/package/*.cpp
+clang-format --dry-run --Werror src/*.cpp src/*.hpp src/*/*.cpp src/*/*.hpp include/irisring/*.hpp \
+  tests/*.cpp tests/*.hpp tests/*/*.cpp tests/*/*.hpp
 
 for kind in plain sanitize; do
   sanitize=OFF
--- a/tests/sides.hpp
+++ b/tests/sides.hpp
@@ -49,8 +49,8 @@
 class Pool : public Loopback, protected AnswerSink {
  protected:
   void open(const WorkerPool::Limits& limits) {
-    pool.emplace(io, limits, budget, figures, answers,
-                 static_cast<AnswerSink&>(*this), [this](AttemptEnd&& end) {
+    pool.emplace(io, limits, budget, figures, answers, static_cast<AnswerSink&>(*this),
+                 [this](AttemptEnd&& end) {
                    EXPECT_FALSE(starting) << "told from within start";
                    ends.push_back(std::move(end));
                  });
--- /dev/null
+++ b/tests/system/core_test.cpp
@@ -0,0 +1,236 @@
+// The whole path on loopback sockets: three control nodes, a gateway, a stand-in for the platform and one for
+// a server; everything in the test's own thread.
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/write.hpp>
+#include <filesystem>
+#include <nlohmann/json.hpp>
+
+#include "control/node.hpp"
+#include "gateway/gateway.hpp"
+
+namespace lilacmux::test {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using burlwind::callReply;
+using burlwind::CallServer;
+using nlohmann::json;
+using namespace std::chrono_literals;
+
+std::string pack(const json& told) {
+  const auto bytes = json::to_msgpack(told);
+  return {bytes.begin(), bytes.end()};
+}
+
+// Two ports in a row that are free on these addresses.
+unsigned short freePorts(asio::io_context& io, const std::vector<std::string>& addresses) {
+  for (int tries = 0; tries < 200; ++tries) {
+    tcp::acceptor any(io, tcp::endpoint(asio::ip::make_address(addresses.front()), 0));
+    const auto port = any.local_endpoint().port();
+    any.close();
+    bool free = port < 65000;
+    for (const std::string& address : addresses)
+      for (unsigned short p = port; free && p < port + 2; ++p) {
+        tcp::acceptor probe(io, tcp::v4());
+        boost::system::error_code error;
+        probe.bind({asio::ip::make_address(address), p}, error);
+        free = !error;
+      }
+    if (free) return port;
+  }
+  throw std::runtime_error("no free ports");
+}
+
+class Core : public testing::Test {
+ protected:
+  Core() : folder_(std::filesystem::temp_directory_path() / ("lilacmux-core-" + std::to_string(getpid()))) {
+    std::filesystem::remove_all(folder_);
+    port_ = freePorts(io, addresses_);
+    controlPort_ = freePorts(io, addresses_);
+    platform_.emplace(io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0), CallServer::Limits{},
+                      [this](CallServer::Call&&, const CallServer::Respond& respond) {
+                        respond(callReply(burlwind::http::status::ok, pack(list()), "application/msgpack"));
+                      });
+    server_.emplace(io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0), CallServer::Limits{},
+                    [this](CallServer::Call&& call, const CallServer::Respond& respond) {
+                      seen = std::move(call);
+                      ++arrivals;
+                      auto out = callReply(burlwind::http::status(status), "the server's bytes");
+                      if (status == 200) out.set("X-Server-Seal", "seal");
+                      respond(std::move(out));
+                    });
+    for (std::size_t i = 0; i < addresses_.size(); ++i)
+      nodes.push_back(std::make_unique<ControlNode>(io, settings(i, true), silent));
+    gateway = std::make_unique<Gateway>(io, settings(0, true), silent);
+  }
+  ~Core() override {
+    gateway.reset();
+    nodes.clear();
+    std::filesystem::remove_all(folder_);
+  }
+
+  NodeSettings settings(std::size_t i, bool bootstrap) {
+    NodeSettings out;
+    out.name = "n" + std::to_string(i);
+    out.address = addresses_[i];
+    out.zone = "z";
+    out.firstPort = port_;
+    out.lastPort = static_cast<unsigned short>(port_ + 1);
+    out.bootstrap = bootstrap;
+    for (const std::string& address : addresses_)
+      out.seeds.emplace_back(asio::ip::make_address(address), controlPort_);
+    out.controlPlane = out.seeds[i];
+    out.frontend = tcp::endpoint(asio::ip::make_address(addresses_[0]), frontPort());
+    out.readiness = tcp::endpoint(asio::ip::make_address(addresses_[1]), frontPort());
+    out.dataDirectory = folder_ / std::to_string(i);
+    out.bounds.revocationGlobal = true;
+    out.platform = platform_->address();
+    out.platformRatePerS = 100;
+    return out;
+  }
+  unsigned short frontPort() {
+    if (frontPort_ == 0) frontPort_ = freePorts(io, addresses_);
+    return frontPort_;
+  }
+
+  void until(const std::function<bool()>& done, const char* what, std::chrono::seconds most = 30s) {
+    const auto end = std::chrono::steady_clock::now() + most;
+    io.restart();
+    while (!done()) {
+      ASSERT_LT(std::chrono::steady_clock::now(), end) << "waited in vain: " << what;
+      io.run_one_for(100ms);
+    }
+  }
+  // One exchange on a connection of its own; all that came.
+  std::string exchange(const tcp::endpoint& at, const std::string& text) {
+    tcp::socket socket(io);
+    boost::system::error_code refused;
+    socket.connect(at, refused);
+    if (refused) return {};
+    asio::write(socket, asio::buffer(text));
+    std::string got;
+    std::array<char, 4096> piece;
+    bool ended = false;
+    std::function<void()> read = [&] {
+      socket.async_read_some(asio::buffer(piece), [&](const boost::system::error_code& error, std::size_t n) {
+        got.append(piece.data(), n);
+        error ? (void)(ended = true) : read();
+      });
+    };
+    read();
+    until([&] { return ended; }, "an answer");
+    return got;
+  }
+  std::string ask(const std::string& target, const std::string& key) {
+    return exchange(*settings(0, true).frontend,
+                    "GET " + target + " HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: 1\r\nX-Api-Key: " + key +
+                        "\r\nX-Tenant-Name: mallory\r\nConnection: close\r\n\r\n");
+  }
+  std::string ready() {
+    return exchange(*settings(0, true).readiness, "GET /api/readiness HTTP/1.1\r\nHost: a\r\n\r\n");
+  }
+  // At any node, as operators do: on to where it is sent, and again until there is a clear answer.
+  unsigned replace(const json& configuration, std::uint64_t base) {
+    const std::string body = pack(configuration);
+    std::size_t at = 0;
+    const auto end = std::chrono::steady_clock::now() + 20s;
+    while (std::chrono::steady_clock::now() < end) {
+      const std::string got = exchange(
+          settings(at, true).controlPlane.value(),
+          "POST /api/Configuration.Replace HTTP/1.1\r\nHost: a\r\nX-Base-Revision: " + std::to_string(base) +
+              "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+      const unsigned told = got.size() > 12 ? static_cast<unsigned>(std::stoi(got.substr(9, 3))) : 0;
+      if (told != 307 && told != 503 && told != 0) return told;
+      at = (at + 1) % addresses_.size();
+      io.restart();
+      io.run_for(10ms);
+    }
+    return 0;
+  }
+  json configuration(std::uint64_t revision, const char* key) {
+    return {{"revision", revision},
+            {"routeRules",
+             {{{"name", "r"},
+               {"hostname", "a.example"},
+               {"pathPrefix", "/a/"},
+               {"routeType", "non_idempotent"},
+               {"timeoutMs", 5000},
+               {"targetLatencyMs", 300},
+               {"targetService", "s"},
+               {"maxAttempts", 2}}}},
+            {"backendServices", {{{"name", "s"}}}},
+            {"tenants", {{{"name", "reader"}, {"apiKeys", {key}}, {"ratePerS", 100}, {"burstSize", 100}}}}};
+  }
+  json list() const {
+    const auto at = server_->address();
+    return {{"instances",
+             {{{"instanceId", "i-1"},
+               {"targetService", "s"},
+               {"address", at.address().to_string() + ":" + std::to_string(at.port())},
+               {"zone", "z"},
+               {"capacity", 3},
+               {"state", "available"},
+               {"warmupRemainingMs", 0}}}},
+            {"nextPageToken", nullptr}};
+  }
+
+  asio::io_context io;
+  std::vector<std::unique_ptr<ControlNode>> nodes;
+  std::unique_ptr<Gateway> gateway;
+  CallServer::Call seen;
+  unsigned arrivals = 0, status = 200;
+
+ private:
+  static void silent(const std::string&) {}
+  const std::vector<std::string> addresses_{"127.0.0.11", "127.0.0.12", "127.0.0.13"};
+  const std::filesystem::path folder_;
+  unsigned short port_ = 0, controlPort_ = 0, frontPort_ = 0;
+  std::optional<CallServer> platform_, server_;
+};
+
+bool has(const std::string& text, const char* what) { return text.find(what) != std::string::npos; }
+
+TEST_F(Core, AConfigurationIsTakenAndARequestServed) {
+  EXPECT_TRUE(has(ready(), "503")) << "ready before it knows anything";
+  ASSERT_EQ(replace(configuration(2, "k"), 0), 200u);
+  EXPECT_EQ(replace(configuration(2, "k"), 0), 200u) << "the same again is the same answer";
+  EXPECT_EQ(replace(configuration(3, "k"), 0), 412u);
+  EXPECT_EQ(replace(configuration(1, "k"), 2), 400u);
+  until([&] { return gateway->ready(); }, "the gateway follows");
+  EXPECT_TRUE(has(ready(), "200"));
+  // The stock of a new tenant comes with the first words on its demand.
+  std::string got;
+  until([&] { return has(got = ask("/a/x?y=1", "k"), "HTTP/1.1 200"); }, "served");
+  EXPECT_TRUE(has(got, "X-Server-Seal: seal")) << got;
+  EXPECT_TRUE(has(got, "the server's bytes"));
+  EXPECT_EQ(seen.target(), "/a/x?y=1");
+  EXPECT_EQ(seen["X-Tenant-Name"], "reader");
+  EXPECT_EQ(seen["X-Expected-Instance"], "i-1");
+  EXPECT_EQ(seen.count("X-Api-Key"), 0u);
+  EXPECT_TRUE(has(ask("/a/x", "other"), "HTTP/1.1 401"));
+  EXPECT_TRUE(has(ask("/b/x", "k"), "HTTP/1.1 404"));
+  // A server's own failure says that it has run: it goes on as it is and is not sent again.
+  status = 500;
+  const unsigned before = arrivals;
+  EXPECT_TRUE(has(ask("/a/x", "k"), "HTTP/1.1 500"));
+  EXPECT_EQ(arrivals, before + 1);
+}
+
+TEST_F(Core, AKeyThatIsTakenAwayIsRefusedAndTheNextPrimaryKnows) {
+  ASSERT_EQ(replace(configuration(2, "old"), 0), 200u);
+  until([&] { return gateway->ready(); }, "the gateway follows");
+  until([&] { return has(ask("/a/x", "old"), "HTTP/1.1 200"); }, "served");
+  ASSERT_EQ(replace(configuration(4, "new"), 2), 200u);
+  until([&] { return has(ask("/a/x", "old"), "HTTP/1.1 401"); }, "refused");
+  nodes.front().reset();  // the one that stood first, most likely the primary
+  EXPECT_EQ(replace(configuration(4, "new"), 2), 200u)
+      << "what was acknowledged is known to the next primary";
+  EXPECT_EQ(replace(configuration(6, "new"), 4), 200u) << "and it goes on without the lost one";
+}
+
+}  // namespace
+}  // namespace lilacmux::test
--- /dev/null
+++ b/tests/system/parts_test.cpp
@@ -0,0 +1,256 @@
+// What is read from outside: settings, configurations, the platform's pages, frames, answers; and the route
+// table and the log of changes that are made of it.
+#include <gtest/gtest.h>
+
+#include <boost/asio/write.hpp>
+#include <filesystem>
+#include <nlohmann/json.hpp>
+
+#include "cli/settings.hpp"
+#include "control/change_log.hpp"
+#include "control/configuration.hpp"
+#include "control/platform.hpp"
+#include "control/wire.hpp"
+#include "gateway/routes.hpp"
+#include "gateway/server_answers.hpp"
+#include "store/store.hpp"
+
+namespace lilacmux::test {
+namespace {
+
+using nlohmann::json;
+
+json settings() {
+  return {{"nodeName", "n"},
+          {"ipAddress", "127.0.0.1"},
+          {"zone", "z"},
+          {"listeners", {{"frontend", "127.0.0.1:80"}, {"readiness", "127.0.0.1:81"}}},
+          {"internalPortRange", {7560, 7575}},
+          {"seedNodes", {"127.0.0.1:82"}},
+          {"unknown", 1}};
+}
+
+std::string complaint(const json& told) {
+  try {
+    parseSettings(told.dump());
+  } catch (const SettingsError& why) {
+    return why.what();
+  }
+  return "";
+}
+
+TEST(Settings, EachWrongFieldIsNamed) {
+  EXPECT_EQ(complaint(settings()), "");
+  const std::vector<std::pair<json, std::string>> wrong{
+      {{{"nodeName", nullptr}}, "nodeName"},
+      {{{"ipAddress", "here"}}, "ipAddress"},
+      {{{"internalPortRange", {9, 3}}}, "internalPortRange"},
+      {{{"seedNodes", {"127.0.0.1"}}}, "seedNodes"},
+      {{{"bootstrap", "yes"}}, "bootstrap"},
+      {{{"listeners", {{"readiness", nullptr}}}}, "listeners.readiness"},
+      {{{"listeners", {{"frontend", "127.0.0.1:80"}, {"readiness", "127.0.0.1:80"}}}}, "listeners.readiness"},
+      {{{"requestLimits", {{"memoryMb", -1}}}}, "memoryMb"},
+      {{{"bounds", {{"quotaWindowS", 0}}}}, "quotaWindowS"},
+      {{{"platformApi", {{"address", "x:y"}}}}, "platformApi.address"}};
+  for (const auto& [patch, field] : wrong) {
+    json told = settings();
+    told.merge_patch(patch);
+    EXPECT_EQ(complaint(told).rfind(field + ":", 0), 0u) << field << " got: " << complaint(told);
+  }
+  EXPECT_THROW(parseSettings("{"), SettingsError);
+}
+
+json configuration() {
+  return {
+      {"revision", 5},
+      {"routeRules",
+       {{{"name", "r"},
+         {"hostname", "a.example"},
+         {"pathPrefix", "/a/"},
+         {"routeType", "idempotent"},
+         {"timeoutMs", 800},
+         {"targetLatencyMs", 300},
+         {"targetService", "s"},
+         {"maxAttempts", 2}},
+        {{"name", "split"},
+         {"hostname", "a.example"},
+         {"pathPrefix", "/a/b/"},
+         {"routeType", "non_idempotent"},
+         {"timeoutMs", 800},
+         {"trafficSplit", {{{"targetService", "s"}, {"weight", 3}}, {{"targetService", "t"}, {"weight", 1}}}},
+         {"public", true}}}},
+      {"backendServices", {{{"name", "s"}}, {{"name", "t"}}}},
+      {"tenants", {{{"name", "x"}, {"apiKeys", {"k1", "k2"}}, {"ratePerS", 10}, {"burstSize", 10}}}},
+      {"nobodyKnows", true}};
+}
+
+std::string pack(const json& told) {
+  const auto bytes = json::to_msgpack(told);
+  return {bytes.begin(), bytes.end()};
+}
+
+bool valid(const json& told) { return std::holds_alternative<Configuration>(parseConfiguration(pack(told))); }
+
+TEST(Configurations, WhatIsInvalidIsRefusedWhole) {
+  EXPECT_TRUE(valid(configuration()));
+  const auto broken = [](const std::function<void(json&)>& how) {
+    json told = configuration();
+    how(told);
+    return !valid(told);
+  };
+  EXPECT_TRUE(broken([](json& c) { c["routeRules"][0]["targetService"] = "none"; }));
+  EXPECT_TRUE(broken([](json& c) { c["routeRules"][1]["pathPrefix"] = "/a/"; }));
+  EXPECT_TRUE(broken([](json& c) {
+    for (auto& part : c["routeRules"][1]["trafficSplit"]) part["weight"] = 0;
+  }));
+  EXPECT_TRUE(broken([](json& c) { c["routeRules"][0]["timeoutMs"] = 0; }));
+  EXPECT_TRUE(broken([](json& c) { c["routeRules"][0]["timeoutMs"] = "800"; }));
+  EXPECT_TRUE(broken([](json& c) { c["routeRules"][0]["pathPrefix"] = "a/"; }));
+  EXPECT_TRUE(broken([](json& c) { c["tenants"].push_back({{"name", "y"}, {"apiKeys", {"k2"}}}); }));
+  EXPECT_TRUE(broken([](json& c) { c.erase("revision"); }));
+  const std::string whole = pack(configuration());
+  for (std::size_t size = 0; size < whole.size(); ++size)
+    EXPECT_TRUE(std::holds_alternative<std::string>(parseConfiguration(whole.substr(0, size)))) << size;
+}
+
+TEST(Routes, TheLongestPrefixOfTheHostWinsAndKeysHaveOneHolder) {
+  const RouteTable table(std::get<Configuration>(parseConfiguration(pack(configuration()))));
+  EXPECT_EQ(table.find("A.example:80", "/a/x")->name, "r");
+  EXPECT_EQ(table.find("a.example", "/a/b/c")->name, "split");
+  EXPECT_EQ(table.find("a.example", "/ab/"), nullptr);
+  EXPECT_EQ(table.find("b.example", "/a/"), nullptr);
+  EXPECT_EQ(table.holder("k2")->name, "x");
+  EXPECT_EQ(table.holder("k"), nullptr);
+  const Route& split = *table.find("a.example", "/a/b/");
+  EXPECT_TRUE(table.needsKey(*table.find("a.example", "/a/")));
+  EXPECT_FALSE(table.needsKey(split));
+  EXPECT_EQ(RouteTable::pickService(split, 0.74), "s");
+  EXPECT_EQ(RouteTable::pickService(split, 0.76), "t");
+}
+
+TEST(Platform, APageThatIsCutShortOrLacksAFieldIsNoPage) {
+  const json page = {{"instances",
+                      {{{"instanceId", "i"},
+                        {"targetService", "s"},
+                        {"address", "127.0.0.1:1"},
+                        {"zone", "z"},
+                        {"capacity", 2},
+                        {"state", "draining"},
+                        {"warmupRemainingMs", 0}}}},
+                     {"nextPageToken", "p"}};
+  const std::string whole = pack(page);
+  const auto read = parsePage(whole);
+  ASSERT_TRUE(std::holds_alternative<ListPage>(read));
+  EXPECT_EQ(std::get<ListPage>(read).next, "p");
+  EXPECT_TRUE(std::get<ListPage>(read).instances.at(0).draining);
+  for (std::size_t size = 0; size < whole.size(); ++size)
+    EXPECT_TRUE(std::holds_alternative<std::string>(parsePage(whole.substr(0, size))));
+  json lacks = page;
+  lacks["instances"][0].erase("address");
+  EXPECT_TRUE(std::holds_alternative<std::string>(parsePage(pack(lacks))));
+}
+
+TEST(Frames, AreTakenWholeAndRubbishIsSeen) {
+  Frame frame;
+  frame.head = {{"t", "x"}};
+  frame.body = "bytes";
+  const std::string bytes = encode(frame);
+  std::string in;
+  Frame out;
+  for (std::size_t i = 0; i + 1 < bytes.size(); ++i) {
+    in += bytes[i];
+    EXPECT_EQ(decode(in, out), Decoded::more);
+  }
+  in += bytes.back();
+  in += bytes;
+  EXPECT_EQ(decode(in, out), Decoded::frame);
+  EXPECT_EQ(out.body, "bytes");
+  EXPECT_EQ(decode(in, out), Decoded::frame);
+  EXPECT_TRUE(in.empty());
+  std::string rubbish = "GET / HTTP/1.1\r\n\r\n";
+  EXPECT_EQ(decode(rubbish, out), Decoded::rubbish);
+  std::string notJson(8, '\0');
+  notJson[3] = 2;
+  notJson += "xx";
+  EXPECT_EQ(decode(notJson, out), Decoded::rubbish);
+  EXPECT_FALSE(messageOf(Frame{{{"t", "beat"}, {"from", 1}}, ""}));
+  EXPECT_FALSE(followCallOf(Frame{{{"t", "follow"}, {"name", "n"}}, ""}));
+}
+
+TEST(ChangeLog, AFollowerGetsWhatItLacksAndWhoIsTooFarBehindASnapshot) {
+  ChangeLog log(7);
+  EXPECT_EQ(log.since(0, 0, 0).place, 0u) << "a place before there is a list";
+  const Instance a{"a", "s", "127.0.0.1:1", "z", 2, false, 0};
+  Instance b{"b", "s", "127.0.0.1:2", "z", 2, false, 0};
+  log.servers({a, b});
+  const auto first = log.since(0, 0, 0);
+  EXPECT_TRUE(first.snapshot);
+  EXPECT_EQ(first.set.size(), 2u);
+  b.draining = true;
+  log.servers({b});
+  const auto next = log.since(7, first.place, 0);
+  EXPECT_FALSE(next.snapshot);
+  EXPECT_EQ(next.set, std::vector<Instance>{b});
+  EXPECT_EQ(next.gone, std::vector<std::string>{"a"});
+  EXPECT_FALSE(log.since(7, next.place, 0).servers);
+  for (std::size_t i = 0; i < ChangeLog::kKept + 1; ++i) {
+    b.draining = !b.draining;
+    log.servers({b});
+  }
+  EXPECT_TRUE(log.since(7, next.place, 0).snapshot);
+  EXPECT_TRUE(log.since(6, log.place(), 0).snapshot) << "another epoch's place says nothing";
+}
+
+TEST(ServerAnswers, OnlyWhatSaysSoHasNotRun) {
+  const ServerAnswers answers;
+  irisring::Outcome outcome;
+  const auto read = [&](unsigned status, std::vector<std::pair<const char*, const char*>> fields) {
+    burlwind::http::response_header<> head;
+    head.result(status);
+    for (const auto& [name, value] : fields) head.insert(name, value);
+    return answers.read(head, outcome);
+  };
+  using irisring::Result;
+  EXPECT_EQ(read(200, {{"X-Server-Seal", "s"}}), Result::ok);
+  EXPECT_EQ(read(200, {}), Result::spoilt);
+  EXPECT_EQ(read(200, {{"X-Server-Seal", "s"}, {"Content-Encoding", "gzip"}}), Result::spoilt);
+  EXPECT_EQ(read(503, {}), Result::error);
+  EXPECT_EQ(read(503, {{"X-Not-Executed", "1"}}), Result::full);
+  EXPECT_EQ(read(421, {}), Result::full);
+  EXPECT_EQ(read(500, {{"X-Server-Seal", "s"}}), Result::error);
+  EXPECT_EQ(read(404, {{"X-Server-Seal", "s"}}), Result::ok);
+}
+
+TEST(Store, GivesBackWhatWasWritten) {
+  const auto folder =
+      std::filesystem::temp_directory_path() / ("lilacmux-store-" + std::to_string(::getpid()));
+  std::filesystem::remove_all(folder);
+  Durable kept;
+  kept.members = {"a", "b"};
+  kept.promised = 4;
+  kept.promisedTo = "a";
+  kept.record = {3, 2, true, "a", "b"};
+  kept.dataEpoch = 3;
+  kept.state = {9, 5, std::make_shared<const std::string>(std::string("\0\1", 2)), {{5, 77}}};
+  const auto silent = [](const std::string&) {};
+  {
+    Store store(folder, silent);
+    EXPECT_FALSE(store.read());
+    EXPECT_TRUE(store.write(kept));
+  }
+  {
+    Store store(folder, silent);
+    const auto read = store.read();
+    ASSERT_TRUE(read);
+    EXPECT_EQ(read->members, kept.members);
+    EXPECT_EQ(read->promised, 4u);
+    EXPECT_EQ(read->record.epoch, 3u);
+    EXPECT_TRUE(read->record.renewed);
+    EXPECT_EQ(*read->state.body, *kept.state.body);
+    EXPECT_EQ(read->state.fingerprint, kept.state.fingerprint);
+  }
+  std::filesystem::remove_all(folder);
+}
+
+}  // namespace
+}  // namespace lilacmux::test
