--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -15,6 +15,7 @@
 using burlwind::callReply;
 using burlwind::CallReply;
 
+constexpr auto kHeardWithin = 700ms;  // a member's word at another, else the connection is given up
 constexpr auto kTick = 100ms;
 constexpr auto kLeaveAfter = 300ms;  // what was said last goes out
 constexpr std::size_t kMostWaiting = 64;
@@ -112,7 +113,7 @@
 void ControlNode::send(const NodeId& to, const Message& message) {
   auto& peer = peers_[to];
   if (!peer) peer = std::make_unique<FrameClient>(io_, parseAddress(to, "peer"));
-  peer->post(toFrame(message));
+  peer->call(toFrame(message), kHeardWithin, [](std::optional<Frame>) {});
 }
 
 bool ControlNode::store(const Durable& durable) { return store_.write(durable); }
@@ -250,7 +251,9 @@
 
 void ControlNode::framed(Frame&& frame, const FrameServer::Reply& reply) {
   if (const auto call = followCallOf(frame)) return reply(toFrame(follow(*call)));
-  if (const auto message = messageOf(std::move(frame))) replica_->receive(now(), *message);
+  const auto message = messageOf(std::move(frame));
+  reply({{{"t", "heard"}}, {}});
+  if (message) replica_->receive(now(), *message);
 }
 
 FollowAnswer ControlNode::follow(const FollowCall& call) {
--- a/src/net/frames.cpp
+++ b/src/net/frames.cpp
@@ -1,7 +1,5 @@
 #include "net/frames.hpp"
 
-#include <netinet/tcp.h>
-
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
@@ -17,7 +15,6 @@
 
 constexpr auto kConnectWithin = 800ms;
 constexpr auto kAcceptPause = 50ms;
-constexpr int kSilentMs = 2000;         // unacknowledged bytes end a connection after this
 constexpr std::size_t kMostEarly = 64;  // frames that wait for a connection
 constexpr const char* kCallField = "#";
 
@@ -34,7 +31,6 @@
 void tune(tcp::socket& socket) {
   Error ignored;
   socket.set_option(tcp::no_delay(true), ignored);
-  socket.set_option(asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>(kSilentMs), ignored);
 }
 
 }  // namespace
@@ -212,12 +208,12 @@
   call.done = std::move(done);
   call.timer = std::make_unique<asio::steady_timer>(io_, within);
   call.timer->async_wait([this, number, alive = alive_](const Error& error) {
-    if (!error && *alive) finish(number, std::nullopt);
+    if (!error && *alive && calls_.contains(number)) down();
   });
-  post(std::move(frame));
+  send(std::move(frame));
 }
 
-void FrameClient::post(Frame frame) {
+void FrameClient::send(Frame&& frame) {
   if (link_) return link_->send(frame);
   if (early_.size() < kMostEarly) early_.push_back(std::move(frame));
   ensure();
--- a/src/net/frames.hpp
+++ b/src/net/frames.hpp
@@ -103,11 +103,10 @@
 
   const boost::asio::ip::tcp::endpoint& peer() const { return peer_; }
   void call(Frame frame, std::chrono::milliseconds within, Done done);
-  // No answer is awaited; lost if the peer cannot be reached.
-  void post(Frame frame);
   std::size_t waiting() const { return calls_.size(); }
 
  private:
+  void send(Frame&& frame);
   struct Call {
     std::unique_ptr<boost::asio::steady_timer> timer;
     Done done;
--- a/tests/pipelining_test.cpp
+++ b/tests/pipelining_test.cpp
@@ -24,7 +24,7 @@
   }
   std::variant<Call, Rejection> read(const ClientMessage& head) override {
     auto out = readCall(head, *config);
-    if (auto* call = std::get_if<Call>(&out)) call->repeatable = call->klass == 0;
+    if (auto* told = std::get_if<Call>(&out)) told->repeatable = told->klass == 0;
     return out;
   }
   std::vector<std::uint64_t> calls;
--- a/tests/system/core_world.hpp
+++ b/tests/system/core_world.hpp
@@ -133,9 +133,9 @@
   }
   // Whoever serves knows all that was acknowledged.
   void check() {
-    const auto serves = server();
-    if (serves)
+    if (const auto serves = server()) {
       EXPECT_GE(at(*serves).committed().revision, acknowledged) << "served from old state at " << now_;
+    }
   }
 
   std::mt19937_64 random_;
