Let a new primary wait only for the gatekeepers that may hold shares

Cause: after all control nodes were killed, or the primary was lost, tenants with a quota got nothing for 4 s: the new ledger waited out leases that anybody might hold. Change: a gatekeeper's name is kept on both disks before it is lent anything; a new ledger waits for those names only, and no longer once all have said what they hold.

--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -19,7 +19,8 @@
 constexpr auto kTick = 100ms;
 constexpr auto kLeaveAfter = 300ms;  // what was said last goes out
 constexpr std::size_t kMostWaiting = 64;
-constexpr std::size_t kMostTaken = 64;  // fingerprints kept
+constexpr std::size_t kManyHolders = 64;  // names kept before those of the gone are dropped
+constexpr std::size_t kMostTaken = 64;    // fingerprints kept
 constexpr std::size_t kMostConfiguration = 8 << 20;
 constexpr std::size_t kLinks = 512;  // of gatekeepers and members
 constexpr const char* kPack = "application/msgpack";
@@ -132,8 +133,7 @@
   if (!changes_) {
     changes_ = std::make_unique<ChangeLog>(replica_->epoch());
     const ShareLedger::Timing timing;
-    const Millis quiet = state.sequence == 0 ? now() : now() + timing.lease;
-    shares_ = std::make_unique<ShareLedger>(timing, now(), quiet);
+    shares_ = std::make_unique<ShareLedger>(timing, now(), state.holders);
     watchPlatform();
   }
   changes_->configuration(state.revision, state.body);
@@ -163,6 +163,7 @@
 void ControlNode::lostPrimacy() {
   changes_.reset();
   shares_.reset();
+  joining_.clear();
   // Its own handler may be what is running.
   boost::asio::post(io_, [watch = std::shared_ptr<PlatformWatch>(std::move(watch_))] {});
   if (current_) waiting_.push_front(std::move(*current_));
@@ -219,6 +220,18 @@
     waiting_.pop_front();
     decide(std::move(next));
   }
+  if (!joining_.empty() && !current_ && replica_->canWrite(now())) join();
+}
+
+// Before a gatekeeper is lent anything its name is kept, so that the next primary knows whom to hear first.
+void ControlNode::join() {
+  State next = replica_->committed();
+  ++next.sequence;
+  if (next.holders.size() > kManyHolders)
+    std::erase_if(next.holders, [&](const std::string& name) { return shares_->isGone(now(), name); });
+  next.holders.merge(joining_);
+  joining_.clear();
+  replica_->propose(now(), next);
 }
 
 void ControlNode::decide(Change&& change) {
@@ -264,6 +277,11 @@
   }
   out.epoch = changes_->epoch();
   out.news = changes_->since(call.epoch, call.place, call.revision);
+  if (!replica_->committed().holders.contains(call.name)) {
+    joining_.insert(call.name);
+    boost::asio::post(io_, [this] { pump(); });
+    return out;
+  }
   out.grants = shares_->turn(now(), call.name, call.demands, out.grant);
   out.gatekeepers = shares_->gatekeepers(now());
   return out;
--- a/src/control/node.hpp
+++ b/src/control/node.hpp
@@ -60,6 +60,7 @@
   void elsewhere(const std::string& path, const Respond& respond) const;
   void pump();
   void decide(Change&& change);
+  void join();
   void framed(Frame&& frame, const FrameServer::Reply& reply);
   FollowAnswer follow(const FollowCall& call);
   void lead(const State& state);
@@ -78,6 +79,7 @@
   std::unique_ptr<PlatformWatch> watch_;  // while primary
   std::deque<Change> waiting_;
   std::optional<Change> current_;  // proposed
+  std::set<std::string> joining_;  // gatekeepers to be named as holders of shares
   boost::asio::steady_timer tick_, leave_;
   std::optional<burlwind::CallServer> calls_;
   std::optional<FrameServer> frames_;
--- a/src/control/replica.hpp
+++ b/src/control/replica.hpp
@@ -14,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,7 @@
   std::uint64_t revision = 0;
   std::shared_ptr<const std::string> body;             // as it was sent
   std::map<std::uint64_t, std::uint64_t> fingerprint;  // of each body taken, by revision
+  std::set<std::string> holders;                       // gatekeepers that may have been lent shares of quotas
 };
 
 struct Record {
--- a/src/control/shares.cpp
+++ b/src/control/shares.cpp
@@ -61,7 +61,7 @@
 // ledger counts them.
 void ShareLedger::fill(Ledger& ledger, Millis now) const {
   double rate = ledger.quota.rate;
-  if (now < quietUntil_) {
+  if (isQuiet(now)) {
     rate = 0;
     for (const auto& [name, holding] : ledger.holdings) rate += holding.rate;
     rate = std::min(rate, ledger.quota.rate);
@@ -136,6 +136,7 @@
                                                   const std::vector<Demand>& demands, std::uint64_t& grant) {
   advance(now);
   heard_[gatekeeper] = now;
+  awaited_.erase(gatekeeper);
   grant = ++lastGrant_;
   std::map<std::string, const Demand*> told;
   for (const Demand& demand : demands) told[demand.tenant] = &demand;
@@ -147,7 +148,7 @@
     hear(ledger, mine, says == told.end() ? nullptr : says->second, !fresh);
     mine.heardAt = now;
     mine.grant = grant;
-    mine.offered = now < quietUntil_ ? std::min(mine.rate, ledger.quota.rate) : rateFor(ledger, gatekeeper);
+    mine.offered = isQuiet(now) ? std::min(mine.rate, ledger.quota.rate) : rateFor(ledger, gatekeeper);
     mine.given = tokensFor(ledger, mine);
     if (mine.given > 0) ledger.bucket -= mine.given;
     out.push_back({tenant, mine.given, mine.offered});
--- a/src/control/shares.hpp
+++ b/src/control/shares.hpp
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -53,10 +54,10 @@
     double rate = 0;    // lent
   };
 
-  // `quietUntil`: until then gatekeepers that this ledger does not know may go by rates that another has
-  // lent, so only the rates of those that it hears from fill the buckets.
-  ShareLedger(const Timing& timing, Millis now, Millis quietUntil)
-      : timing_(timing), quietUntil_(quietUntil), at_(now) {}
+  // `awaited`: gatekeepers that may go by rates that the ledger before this one has lent. Until all of them
+  // have been heard, or their leases have ended, only the rates of those that were fill the buckets.
+  ShareLedger(const Timing& timing, Millis now, std::set<std::string> awaited)
+      : timing_(timing), quietUntil_(now + timing.lease), awaited_(std::move(awaited)), at_(now) {}
 
   void limits(Millis now, const std::map<std::string, Quota>& quotas);
   // One gatekeeper's turn.
@@ -65,6 +66,10 @@
   // All that could be let in at this moment: the bucket, the stocks, and what is on its way.
   double outstanding(const std::string& tenant) const;
   std::size_t gatekeepers(Millis now) const;
+  // Whether this gatekeeper can hold nothing: it was not heard for a lease's time.
+  bool isGone(Millis now, const std::string& gatekeeper) const {
+    return !isQuiet(now) && !heard_.contains(gatekeeper);
+  }
 
  private:
   struct Holding {
@@ -81,6 +86,7 @@
     std::map<std::string, Holding> holdings;  // by gatekeeper
     double out() const;                       // in stocks and on the way
   };
+  bool isQuiet(Millis now) const { return !awaited_.empty() && now < quietUntil_; }
   void advance(Millis now);
   void fill(Ledger& ledger, Millis now) const;
   void hear(Ledger& ledger, Holding& holding, const Demand* demand, bool known) const;
@@ -89,6 +95,7 @@
 
   const Timing timing_;
   const Millis quietUntil_;
+  std::set<std::string> awaited_;
   Millis at_;
   std::map<std::string, Ledger> ledgers_;  // by tenant
   std::map<std::string, Millis> heard_;    // gatekeepers
--- a/src/control/wire.cpp
+++ b/src/control/wire.cpp
@@ -24,7 +24,10 @@
 void addState(const State& state, Frame& out) {
   json taken = json::array();
   for (const auto& [revision, print] : state.fingerprint) taken.push_back({revision, print});
-  out.head["state"] = {{"sequence", state.sequence}, {"revision", state.revision}, {"taken", taken}};
+  out.head["state"] = {{"sequence", state.sequence},
+                       {"revision", state.revision},
+                       {"taken", taken},
+                       {"holders", state.holders}};
   if (state.body) out.body = *state.body;
 }
 
@@ -32,6 +35,7 @@
   State out;
   in.at("sequence").get_to(out.sequence);
   in.at("revision").get_to(out.revision);
+  in.at("holders").get_to(out.holders);
   for (const json& entry : in.at("taken"))
     out.fingerprint[entry.at(0).get<std::uint64_t>()] = entry.at(1).get<std::uint64_t>();
   if (out.revision > 0) out.body = std::make_shared<const std::string>(std::move(body));
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -42,7 +42,8 @@
           {"dataEpoch", d.dataEpoch},
           {"sequence", d.state.sequence},
           {"revision", d.state.revision},
-          {"taken", prints}};
+          {"taken", prints},
+          {"holders", d.state.holders}};
 }
 
 Durable fromMeta(const json& in) {
@@ -58,6 +59,7 @@
   in.at("dataEpoch").get_to(out.dataEpoch);
   in.at("sequence").get_to(out.state.sequence);
   in.at("revision").get_to(out.state.revision);
+  in.at("holders").get_to(out.state.holders);
   for (const json& entry : in.at("taken"))
     out.state.fingerprint[entry.at(0).get<std::uint64_t>()] = entry.at(1).get<std::uint64_t>();
   return out;
--- a/tests/system/parts_test.cpp
+++ b/tests/system/parts_test.cpp
@@ -231,7 +231,7 @@
   kept.promisedTo = "a";
   kept.record = {3, 2, true, "a", "b"};
   kept.dataEpoch = 3;
-  kept.state = {9, 5, std::make_shared<const std::string>(std::string("\0\1", 2)), {{5, 77}}};
+  kept.state = {9, 5, std::make_shared<const std::string>(std::string("\0\1", 2)), {{5, 77}}, {"g"}};
   const auto silent = [](const std::string&) {};
   {
     Store store(folder, silent);
@@ -248,6 +248,7 @@
     EXPECT_TRUE(read->record.renewed);
     EXPECT_EQ(*read->state.body, *kept.state.body);
     EXPECT_EQ(read->state.fingerprint, kept.state.fingerprint);
+    EXPECT_EQ(read->state.holders, kept.state.holders);
   }
   std::filesystem::remove_all(folder);
 }
--- a/tests/system/shares_test.cpp
+++ b/tests/system/shares_test.cpp
@@ -20,7 +20,7 @@
  public:
   Fleet(std::uint64_t seed, unsigned gatekeepers, double rate, double burst)
       : random_(seed), nodes_(gatekeepers), rate_(rate), burst_(burst) {
-    lead(0);
+    lead({});
     for (Node& node : nodes_) {
       node.admission.limited({"t"});
       node.asksAt = 250 * chance();
@@ -28,8 +28,8 @@
   }
 
   double chance() { return std::uniform_real_distribution<>(0, 1)(random_); }
-  void lead(Millis quiet) {
-    ledger_.emplace(ShareLedger::Timing{}, now_, now_ + quiet);
+  void lead(const std::set<std::string>& awaited) {
+    ledger_.emplace(ShareLedger::Timing{}, now_, awaited);
     ledger_->limits(now_, {{"t", rule.within(rate_, burst_)}});
   }
 
@@ -47,6 +47,11 @@
       most = std::max(most, admitted_.size());
     }
   }
+  std::set<std::string> names() const {
+    std::set<std::string> out;
+    for (std::size_t i = 0; i < nodes_.size(); ++i) out.insert("g" + std::to_string(i));
+    return out;
+  }
   void cut(std::size_t i, bool yes) { nodes_[i].cut = yes; }
 
   const QuotaRule rule{5, 0.1, 20};
@@ -115,7 +120,7 @@
     for (int round = 0; round < 5; ++round) {
       for (std::size_t i = 0; i < 9; ++i) fleet.cut(i, fleet.chance() < 0.4);
       fleet.run(1000 + 3000 * fleet.chance(), 500);
-      if (fleet.chance() < 0.5) fleet.lead(ShareLedger::Timing{}.lease);
+      if (fleet.chance() < 0.5) fleet.lead(fleet.names());
       for (std::size_t i = 0; i < 9; ++i) fleet.cut(i, false);
       fleet.run(2000 * fleet.chance(), 500);
     }
@@ -123,6 +128,17 @@
   }
 }
 
+// Once a new ledger has heard all that may hold something, it need not wait for any lease to end.
+TEST(Shares, ANewLedgerThatHasHeardAllLendsAtOnce) {
+  Fleet fleet(2, 5, 50, 50);
+  fleet.run(5000, 40);
+  fleet.lead(fleet.names());
+  fleet.run(500, 40);
+  const std::size_t asked = fleet.asked, refused = fleet.refused;
+  fleet.run(3000, 40);
+  EXPECT_LE(fleet.refused - refused, (fleet.asked - asked) / 10);
+}
+
 TEST(Shares, AGatekeeperAloneGoesOnAtItsLentRateUntilItsLeaseEnds) {
   Fleet fleet(1, 3, 90, 90);
   fleet.run(4000, 60);
