Let go of what was read ahead where a connection is abandoned

Cause: the sanitized run of the pipelining test leaked a connection: what was read ahead held it, and it held that, when the server went with requests still open. Change: abandoning a connection forgets what was read ahead. Measured: the sanitized pipelining tests pass without a leak.

--- a/src/node/client_server.cpp
+++ b/src/node/client_server.cpp
@@ -189,6 +189,8 @@
     Error ignored;
     socket_.close(ignored);
     bytes_.shrinkTo(0);
+    for (const auto& each : ahead_) each->forget();
+    ahead_.clear();
   }
 
   // The end of a drain: ends a connection without a request, unless one has come unread.
