--- a/tests/system/core_test.cpp
+++ b/tests/system/core_test.cpp
@@ -26,6 +26,13 @@
   return {bytes.begin(), bytes.end()};
 }
 
+// A loopback address that no other test process uses, so that ports found free stay so.
+std::string ownAddress(int last) {
+  const int id = getpid();
+  return "127." + std::to_string(1 + id / 256 % 250) + "." + std::to_string(id % 256) + "." +
+         std::to_string(last);
+}
+
 // Two ports in a row that are free on these addresses.
 unsigned short freePorts(asio::io_context& io, const std::vector<std::string>& addresses) {
   for (int tries = 0; tries < 200; ++tries) {
@@ -186,7 +193,7 @@
 
  private:
   static void silent(const std::string&) {}
-  const std::vector<std::string> addresses_{"127.0.0.11", "127.0.0.12", "127.0.0.13"};
+  const std::vector<std::string> addresses_{ownAddress(11), ownAddress(12), ownAddress(13)};
   const std::filesystem::path folder_;
   unsigned short port_ = 0, controlPort_ = 0, frontPort_ = 0;
   std::optional<CallServer> platform_, server_;
