Shorten the loyalty between core members to 1.1 s

Cause: after all machines lost power, tenants waited for a primary until 3.6 s past the return; 1.5 s of that is the loyalty that a started member waits out before it votes, and a lost primary costs the same. Change: loyalty 1.1 s, beats every 0.2 s, a silent backup replaced after 0.8 s.

--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -15,7 +15,7 @@
 using burlwind::callReply;
 using burlwind::CallReply;
 
-constexpr auto kHeardWithin = 700ms;  // a member's word at another, else the connection is given up
+constexpr auto kHeardWithin = 600ms;  // a member's word at another, else the connection is given up
 constexpr auto kTick = 100ms;
 constexpr auto kLeaveAfter = 300ms;  // what was said last goes out
 constexpr std::size_t kMostWaiting = 64;
--- a/src/control/replica.hpp
+++ b/src/control/replica.hpp
@@ -77,11 +77,11 @@
 class Replica {
  public:
   struct Timing {
-    Millis beat = 250;
-    Millis lease = 1500;
+    Millis beat = 200;
+    Millis lease = 1100;
     Millis slack = 100;         // kept from the lease for the rates of clocks
     Millis stagger = 200;       // between those who may stand for election
-    Millis backupSilent = 900;  // then another member becomes the backup
+    Millis backupSilent = 800;  // then another member becomes the backup
     Millis listenFirst = 2000;  // an empty disk: only listens for so long
     Millis resync = 400;
     Millis renewEvery = 500;  // an epoch, for members that have promised another
