--- a/src/cli/settings.hpp
+++ b/src/cli/settings.hpp
@@ -50,10 +50,7 @@
 NodeSettings readSettings(const std::filesystem::path& file);
 Endpoint parseAddress(std::string_view hostPort, const std::string& field);
 
-// The internal port of the control role, and that of the gateway role on the same machine.
+// The internal port of the control role.
 inline unsigned short controlPort(const NodeSettings& s) { return s.firstPort; }
-inline unsigned short gatewayPort(const NodeSettings& s) {
-  return static_cast<unsigned short>(s.firstPort + 1);
-}
 
 }  // namespace lilacmux
--- a/src/control/change_log.hpp
+++ b/src/control/change_log.hpp
@@ -42,7 +42,6 @@
 
   std::uint64_t epoch() const { return epoch_; }
   std::uint64_t place() const { return first_ + changes_.size(); }
-  bool hasServers() const { return listed_; }
   std::uint64_t revision() const { return revision_; }
 
   struct News {
--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -6,6 +6,7 @@
 #include <chrono>
 
 #include "control/configuration.hpp"
+#include "net/steady.hpp"
 
 namespace lilacmux {
 namespace {
@@ -79,10 +80,7 @@
 
 ControlNode::~ControlNode() = default;
 
-Millis ControlNode::now() const {
-  return std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now().time_since_epoch())
-      .count();
-}
+Millis ControlNode::now() const { return steadyMs(); }
 
 void ControlNode::reload(const NodeSettings& settings) {
   const bool moved = settings.platform != settings_.platform;
--- a/src/control/shares.cpp
+++ b/src/control/shares.cpp
@@ -31,11 +31,6 @@
   return sum;
 }
 
-double ShareLedger::outstanding(const std::string& tenant) const {
-  const auto found = ledgers_.find(tenant);
-  return found == ledgers_.end() ? 0 : found->second.bucket + found->second.out();
-}
-
 std::size_t ShareLedger::gatekeepers(Millis now) const {
   return static_cast<std::size_t>(std::count_if(
       heard_.begin(), heard_.end(), [&](const auto& entry) { return now - entry.second < timing_.lease; }));
--- a/src/control/shares.hpp
+++ b/src/control/shares.hpp
@@ -63,8 +63,6 @@
   // One gatekeeper's turn.
   std::vector<Grant> turn(Millis now, const std::string& gatekeeper, const std::vector<Demand>& demands,
                           std::uint64_t& grant);
-  // All that could be let in at this moment: the bucket, the stocks, and what is on its way.
-  double outstanding(const std::string& tenant) const;
   std::size_t gatekeepers(Millis now) const;
   // Whether this gatekeeper can hold nothing: it was not heard for a lease's time.
   bool isGone(Millis now, const std::string& gatekeeper) const {
--- a/src/gateway/admission.hpp
+++ b/src/gateway/admission.hpp
@@ -35,8 +35,6 @@
   // What came of each tenant lately, for the control plane. Starts counting anew.
   std::vector<ShareLedger::Demand> demands(Millis now);
 
-  std::size_t tenantsHeld() const { return index_.size(); }
-
  private:
   struct Bucket {
     std::string tenant;
--- a/src/gateway/follower.cpp
+++ b/src/gateway/follower.cpp
@@ -4,6 +4,8 @@
 #include <boost/asio/post.hpp>
 #include <chrono>
 
+#include "net/steady.hpp"
+
 namespace lilacmux {
 namespace {
 
@@ -15,11 +17,6 @@
 constexpr auto kAfterFailure = 60ms;
 constexpr auto kNobodyLeads = 120ms;
 
-double nowMs() {
-  return std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now().time_since_epoch())
-      .count();
-}
-
 }  // namespace
 
 Follower::Follower(boost::asio::io_context& io, std::vector<Endpoint> candidates, Asks asks, News news,
@@ -71,7 +68,7 @@
   waits_ = false;
   if (!client_) return again(kEvery);
   askedAt_ = std::chrono::steady_clock::now();
-  const Millis sentAt = nowMs();
+  const Millis sentAt = steadyMs();
   client_->call(toFrame(asks_()), kAnswerWithin,
                 [this, sentAt](std::optional<Frame> frame) { answered(std::move(frame), sentAt); });
 }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -5,6 +5,8 @@
 #include <chrono>
 #include <cmath>
 
+#include "net/steady.hpp"
+
 namespace lilacmux {
 namespace {
 
@@ -127,9 +129,12 @@
 
 Gateway::~Gateway() = default;
 
-Gateway::Time Gateway::now() const {
-  return std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now().time_since_epoch())
-      .count();
+Gateway::Time Gateway::now() const { return steadyMs(); }
+
+// From 0 to below 1.
+double Gateway::chance() {
+  random_ = random_ * 6364136223846793005ULL + 1;
+  return static_cast<double>(random_ >> 11) * 0x1.0p-53;
 }
 
 bool Gateway::mayServe() const {
@@ -293,9 +298,7 @@
   }
   if (table_->configuration().hasTenants) tenant = table_->holder(view(message["X-Api-Key"]));
   if (tenant) {
-    const double chance =
-        static_cast<double>((random_ = random_ * 6364136223846793005ULL + 1) >> 11) * 0x1.0p-53;
-    const auto wait = admission_.ask(at, tenant->name, chance);
+    const auto wait = admission_.ask(at, tenant->name, chance());
     if (admission_.isLow()) follower_->hurry();
     if (wait) {
       Answer out = text(http::status::too_many_requests, "over the quota");
@@ -308,9 +311,7 @@
   held.route = route;
   if (tenant) held.tenant = tenant->name;
   held.kind = kinds_.of(*route);
-  const double chance =
-      static_cast<double>((random_ = random_ * 6364136223846793005ULL + 1) >> 11) * 0x1.0p-53;
-  held.lane = laneOf(RouteTable::pickService(*route, chance), held.kind);
+  held.lane = laneOf(RouteTable::pickService(*route, chance()), held.kind);
   held.message = std::move(message);
   held.asker = asker;
   held.expires = at + std::max(0.0, call.patience - kWayBack);
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -98,6 +98,7 @@
   void prepare(Held& held);
   bool mayServe() const;
   Time now() const;
+  double chance();
 
   boost::asio::io_context& io_;
   NodeSettings settings_;
--- a/src/net/frames.hpp
+++ b/src/net/frames.hpp
@@ -103,7 +103,6 @@
 
   const boost::asio::ip::tcp::endpoint& peer() const { return peer_; }
   void call(Frame frame, std::chrono::milliseconds within, Done done);
-  std::size_t waiting() const { return calls_.size(); }
 
  private:
   void send(Frame&& frame);
