Let a control node that follows take the place of a silent core member

Change: the members stand in the record. A primary puts an observer that has taken its record in the place of a member that is silent for 2.5 s, in two records: majorities of both lists, then of the new one. Who decides on an election is told by the newest record that a voter has. An empty disk votes only once it has taken a record. Loyalty no longer keeps a member from helping its own primary back after a restart, so a core that was killed whole leads again without waiting 1.1 s. Gatekeepers are told the members.

--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -269,6 +269,7 @@
 
 FollowAnswer ControlNode::follow(const FollowCall& call) {
   FollowAnswer out;
+  out.core = replica_->members();
   if (!replica_->mayServe(now()) || !changes_) {
     if (replica_->leader() != self_) out.leader = replica_->leader();
     return out;
--- a/src/control/replica.cpp
+++ b/src/control/replica.cpp
@@ -8,10 +8,25 @@
 constexpr Millis kHelloEvery = 1000;
 constexpr Millis kObserverKept = 5000;
 constexpr Millis kAliveWithin = 700;  // of its last word, a member counts as there
-constexpr Millis kBallotFor = 600;
+constexpr Millis kBallotFor = 400;
+
+bool contains(const std::vector<NodeId>& sorted, const NodeId& node) {
+  return std::binary_search(sorted.begin(), sorted.end(), node);
+}
+
+bool isMajority(const std::vector<NodeId>& of, const std::set<NodeId>& nodes) {
+  const auto there = std::count_if(of.begin(), of.end(), [&](const NodeId& n) { return nodes.contains(n); });
+  return static_cast<std::size_t>(there) > of.size() / 2;
+}
 
 }  // namespace
 
+bool Record::has(const NodeId& node) const { return contains(members, node) || contains(leaving, node); }
+
+bool Record::decides(const std::set<NodeId>& nodes) const {
+  return isMajority(members, nodes) && (leaving.empty() || isMajority(leaving, nodes));
+}
+
 Replica::Replica(NodeId self, const std::vector<NodeId>& seeds, bool bootstrap, std::optional<Durable> kept,
                  const Timing& timing, Millis now, ReplicaHost& host)
     : self_(std::move(self)),
@@ -20,18 +35,16 @@
       host_(host),
       startedAt_(now),
       fresh_(bootstrap && !kept),
-      learning_(!bootstrap && !kept) {
+      empty_(!bootstrap && !kept) {
   if (kept) durable_ = std::move(*kept);
-  if (durable_.members.empty() && bootstrap) {
-    durable_.members = seeds;
-    std::sort(durable_.members.begin(), durable_.members.end());
+  if (durable_.record.members.empty() && bootstrap) {
+    durable_.record.members = seeds;
+    std::sort(durable_.record.members.begin(), durable_.record.members.end());
     keep();
   }
 }
 
-bool Replica::isMember() const {
-  return std::binary_search(durable_.members.begin(), durable_.members.end(), self_);
-}
+bool Replica::isMember() const { return durable_.record.has(self_); }
 
 bool Replica::keep() {
   if (failed_) return false;
@@ -53,27 +66,45 @@
   return out;
 }
 
+std::set<NodeId> Replica::everyMember() const {
+  std::set<NodeId> out(durable_.record.members.begin(), durable_.record.members.end());
+  out.insert(durable_.record.leaving.begin(), durable_.record.leaving.end());
+  return out;
+}
+
 void Replica::broadcast(const Message& message) {
-  for (const NodeId& member : durable_.members)
+  for (const NodeId& member : everyMember())
     if (member != self_) host_.send(member, message);
 }
 
-// A majority, this node included, owes its loyalty until then.
+// A majority, this node included, owes its loyalty until then; during a change of members both majorities.
 Millis Replica::leaseUntil(Millis now) const {
-  std::vector<Millis> acked{now};
-  for (const NodeId& member : durable_.members) {
-    if (member == self_) continue;
-    const auto peer = peers_.find(member);
-    acked.push_back(peer == peers_.end() ? -1e18 : peer->second.ackedSentAt);
-  }
-  std::sort(acked.rbegin(), acked.rend());
-  if (acked.size() < majority()) return -1e18;
-  return acked[majority() - 1] + timing_.lease - timing_.slack;
+  const auto ackedBy = [&](const std::vector<NodeId>& members) {
+    std::vector<Millis> acked;
+    for (const NodeId& member : members) {
+      const auto peer = peers_.find(member);
+      acked.push_back(member == self_ ? now : peer == peers_.end() ? -1e18 : peer->second.ackedSentAt);
+    }
+    std::sort(acked.rbegin(), acked.rend());
+    return acked.empty() ? -1e18 : acked[members.size() / 2];
+  };
+  const Record& record = durable_.record;
+  Millis acked = ackedBy(record.members);
+  if (!record.leaving.empty()) acked = std::min(acked, ackedBy(record.leaving));
+  return acked + timing_.lease - timing_.slack;
 }
 
+// After a start a loyalty may be forgotten, but only one to whom it has promised its newest epoch.
 bool Replica::owes(Millis now) const {
   if (now < heardBeat_ + timing_.lease) return true;
-  return !fresh_ && now < startedAt_ + timing_.lease;
+  return !fresh_ && durable_.promisedTo != self_ && now < startedAt_ + timing_.lease;
+}
+
+// Loyalty keeps it from helping others against its primary, not from helping that one to come back.
+bool Replica::helps(Millis now, const NodeId& candidate) const {
+  if (empty_ || !isMember()) return false;
+  if (primary_) return now >= leaseUntil(now);
+  return !owes(now) || (candidate == durable_.promisedTo && (leader_.empty() || leader_ == candidate));
 }
 
 // --- Events
@@ -113,16 +144,13 @@
   // Members say hello only while they know of no primary; others, so that the primary tells them of itself.
   if (now - helloAt_ >= kHelloEvery && (!isMember() || (!primary_ && !owes(now)))) {
     helloAt_ = now;
-    Message hello = make(Message::Kind::hello);
-    hello.members = durable_.members;
-    std::vector<NodeId> to = seeds_;
-    to.insert(to.end(), durable_.members.begin(), durable_.members.end());
-    std::sort(to.begin(), to.end());
-    to.erase(std::unique(to.begin(), to.end()), to.end());
+    const Message hello = make(Message::Kind::hello);
+    std::set<NodeId> to = everyMember();
+    to.insert(seeds_.begin(), seeds_.end());
+    to.insert(contacts_.begin(), contacts_.end());
     for (const NodeId& node : to)
       if (node != self_) host_.send(node, hello);
   }
-  if (learning_ && now >= startedAt_ + timing_.listenFirst) learning_ = false;
   if (!isMember()) {
     if (now - heardBeat_ > 2 * timing_.lease) leader_.clear();
     return;
@@ -131,31 +159,24 @@
 }
 
 void Replica::onHello(Millis now, const Message& message) {
-  if (!message.members.empty() && durable_.members.empty()) {
-    durable_.members = message.members;
-    if (!keep()) return;
-  } else if (message.members.empty() && !durable_.members.empty()) {
-    Message answer = make(Message::Kind::hello);
-    answer.members = durable_.members;
-    host_.send(message.from, answer);
+  const Record& theirs = message.record;
+  if (!theirs.members.empty() && theirs.epoch >= contactsEpoch_) {
+    contacts_ = theirs.members;
+    contactsEpoch_ = theirs.epoch;
   }
-  const auto& members = durable_.members;
-  if (!std::binary_search(members.begin(), members.end(), message.from)) observers_[message.from] = now;
+  // Not kept: a disk that has members but no record is one of the first start.
+  if (durable_.record.members.empty()) durable_.record.members = theirs.members;
+  if (theirs.epoch < durable_.record.epoch || (theirs.members.empty() && !durable_.record.members.empty()))
+    host_.send(message.from, make(Message::Kind::hello));
+  if (!durable_.record.has(message.from)) observers_[message.from] = now;
 }
 
 void Replica::onBeat(Millis now, const Message& message) {
-  if (!isMember()) {
-    if (message.epoch < seen_) return;
-    seen_ = message.epoch;
-    leader_ = message.from;
-    heardBeat_ = now;
-    return;
-  }
   Message answer = make(Message::Kind::beatAck);
   answer.sentAt = message.sentAt;
   answer.epoch = durable_.promised;
   // A record that was renewed without a vote must not go over one that a vote has made meanwhile.
-  const bool stale = message.epoch < durable_.promised ||
+  const bool stale = message.epoch < std::max(durable_.promised, durable_.record.epoch) ||
                      (message.epoch == durable_.promised && durable_.promisedTo != message.from) ||
                      (message.record.renewed && message.epoch != durable_.record.epoch &&
                       message.record.previous < durable_.record.epoch);
@@ -165,12 +186,13 @@
   heardBeat_ = now;
   ballot_.reset();
   standAfter_ = 0;
-  if (learning_) return;
+  if (empty_ && now < startedAt_ + timing_.listenFirst) return;
   if (message.epoch != durable_.record.epoch) {
     durable_.promised = message.epoch;
     durable_.promisedTo = message.from;
     durable_.record = message.record;
     if (!keep()) return;
+    empty_ = false;
   }
   answer.yes = true;
   answer.epoch = message.epoch;
@@ -184,7 +206,7 @@
     // one.
     seen_ = std::max(seen_, message.epoch);
     if (message.epoch < durable_.record.epoch || now - ledSince_ < timing_.renewEvery) return;
-    return lead(now, {nextEpoch(), durable_.record.epoch, true, self_, durable_.record.backup});
+    return renew(now, durable_.record);
   }
   Peer& peer = peers_[message.from];
   peer.ackedSentAt = std::max(peer.ackedSentAt, message.sentAt);
@@ -196,7 +218,7 @@
 void Replica::onProbe(Millis now, const Message& message) {
   if (!isMember()) return;
   Message answer = make(Message::Kind::wouldVote);
-  answer.yes = !isLoyal(now) && !learning_;
+  answer.yes = helps(now, message.from);
   answer.epoch = durable_.promised;
   host_.send(message.from, answer);
 }
@@ -205,14 +227,14 @@
   seen_ = std::max(seen_, message.epoch);
   if (!ballot_ || ballot_->asked || !message.yes) return;
   ballot_->votes[message.from] = message;
-  if (ballot_->votes.size() + 1 >= majority() && eligible(ballot_->votes)) stand(now);
+  if (wins(ballot_->votes)) stand(now);
 }
 
 void Replica::onAsk(Millis now, const Message& message) {
   if (!isMember()) return;
   Message answer = make(Message::Kind::vote);
   answer.epoch = durable_.promised;
-  if (message.epoch <= durable_.promised || isLoyal(now) || learning_)
+  if (message.epoch <= durable_.promised || !helps(now, message.from))
     return host_.send(message.from, answer);
   if (primary_) stepDown("its lease has run out and another stands for election");
   durable_.promised = message.epoch;
@@ -229,27 +251,43 @@
   if (!message.yes) seen_ = std::max(seen_, message.epoch);
   if (!ballot_ || !ballot_->asked || !message.yes || message.epoch != ballot_->epoch) return;
   ballot_->votes[message.from] = message;
-  if (ballot_->votes.size() + 1 < majority()) return;
+  if (!wins(ballot_->votes)) return;
   const Ballot won = std::move(*ballot_);
   ballot_.reset();
-  if (!eligible(won.votes)) return;
-  std::uint64_t previous = durable_.record.epoch;
-  for (const auto& [from, vote] : won.votes) previous = std::max(previous, vote.record.epoch);
-  NodeId backup;
+  Record record = newestOf(won.votes);
+  record.previous = record.epoch;
+  record.epoch = won.epoch;
+  record.renewed = false;
+  record.primary = self_;
+  record.backup.clear();
   for (const auto& [from, vote] : won.votes) {
     peers_[from].heardAt = now;
-    if (backup.empty() || vote.dataEpoch > won.votes.at(backup).dataEpoch) backup = from;
+    if (!contains(record.members, from)) continue;
+    if (record.backup.empty() || vote.dataEpoch > won.votes.at(record.backup).dataEpoch) record.backup = from;
   }
-  lead(now, {won.epoch, previous, false, self_, backup});
+  lead(now, record);
+}
+
+const Record& Replica::newestOf(const std::map<NodeId, Message>& votes) const {
+  const Record* newest = &durable_.record;
+  for (const auto& [from, vote] : votes)
+    if (vote.record.epoch > newest->epoch) newest = &vote.record;
+  return *newest;
+}
+
+// Who decides is told by the newest record that any voter has. There is none newer that holds: it would be
+// with a majority of this one's members.
+bool Replica::wins(const std::map<NodeId, Message>& votes) const {
+  const Record& newest = newestOf(votes);
+  std::set<NodeId> voters{self_};
+  for (const auto& [from, vote] : votes) voters.insert(from);
+  return contains(newest.members, self_) && newest.decides(voters) && eligible(votes, newest);
 }
 
 // Whether this node has all that was ever committed. A primary of the newest record that any majority knows
 // of has, and so has its backup once it was given the state in that epoch. Where that backup votes and says
 // that it never was, nothing was committed in that epoch, and the one before it counts.
-bool Replica::eligible(const std::map<NodeId, Message>& votes) const {
-  Record newest = durable_.record;
-  for (const auto& [from, vote] : votes)
-    if (vote.record.epoch > newest.epoch) newest = vote.record;
+bool Replica::eligible(const std::map<NodeId, Message>& votes, const Record& newest) const {
   if (newest.epoch == 0 || durable_.dataEpoch == newest.epoch) return true;
   const auto backup = votes.find(newest.backup);
   const bool unused = backup != votes.end() ? backup->second.dataEpoch < newest.epoch
@@ -276,15 +314,20 @@
   if (!primary_ || message.epoch != durable_.record.epoch || message.from != durable_.record.backup) return;
   peers_[message.from].heardAt = now;
   if (message.sequence != durable_.state.sequence) return;
-  std::size_t took = 1;
-  for (const auto& [node, peer] : peers_) took += peer.tookEpoch == durable_.record.epoch;
-  if (took < majority()) return;
+  std::set<NodeId> took{self_};
+  for (const auto& [node, peer] : peers_)
+    if (peer.tookEpoch == durable_.record.epoch) took.insert(node);
+  if (!durable_.record.decides(took)) return;
   const bool news = !committed_ || committed_->sequence != durable_.state.sequence;
   if (!committed_) host_.log("primary in epoch " + std::to_string(durable_.record.epoch));
   settled_ = true;
   if (news) committed_ = std::make_shared<State>(durable_.state);
   proposed_ = false;
   if (news) host_.committed(*committed_);
+  if (!primary_ || durable_.record.leaving.empty()) return;
+  Record next = durable_.record;
+  next.leaving.clear();
+  renew(now, std::move(next));
 }
 
 // --- As a primary
@@ -294,6 +337,13 @@
   return std::max({durable_.promised, durable_.record.epoch, seen_}) + 1;
 }
 
+void Replica::renew(Millis now, Record next) {
+  next.previous = durable_.record.epoch;
+  next.epoch = nextEpoch();
+  next.renewed = true;
+  lead(now, next);
+}
+
 void Replica::lead(Millis now, const Record& record) {
   durable_.promised = record.epoch;
   durable_.promisedTo = self_;
@@ -332,18 +382,49 @@
   }
   if (!settled_ && now - syncAt_ >= timing_.resync && peers_[durable_.record.backup].tookEpoch == epoch())
     sendSync(now);
-  const Millis backupHeard = std::max(peers_[durable_.record.backup].heardAt, ledSince_);
-  if (now - backupHeard < timing_.backupSilent) return;
+  if (replaceSilent(now)) return;
+  if (now - heardAt(durable_.record.backup) < timing_.backupSilent) return;
   const NodeId other = chooseBackup(now);
   if (other.empty()) return;
   host_.log("the backup is silent: " + other + " takes its place");
-  lead(now, {nextEpoch(), durable_.record.epoch, true, self_, other});
+  Record next = durable_.record;
+  next.backup = other;
+  renew(now, std::move(next));
+}
+
+Millis Replica::heardAt(const NodeId& node) const {
+  const auto peer = peers_.find(node);
+  return std::max(ledSince_, peer == peers_.end() ? -1e18 : peer->second.heardAt);
+}
+
+// One at a time, and only while the record before it holds. The one that comes in has this epoch's record
+// already: it is there, and has listened for long enough to have forgotten nothing.
+bool Replica::replaceSilent(Millis now) {
+  const Record& record = durable_.record;
+  if (!settled_ || !record.leaving.empty()) return false;
+  const auto silent = std::find_if(record.members.begin(), record.members.end(), [&](const NodeId& member) {
+    return member != self_ && member != record.backup && now - heardAt(member) >= timing_.replaceAfter;
+  });
+  if (silent == record.members.end()) return false;
+  const auto comes = std::find_if(observers_.begin(), observers_.end(), [&](const auto& observer) {
+    const auto peer = peers_.find(observer.first);
+    return !record.has(observer.first) && peer != peers_.end() && now - peer->second.heardAt < kAliveWithin &&
+           peer->second.tookEpoch == record.epoch;
+  });
+  if (comes == observers_.end()) return false;
+  host_.log(comes->first + " takes the place of " + *silent + ", which is silent");
+  Record next = record;
+  next.leaving = record.members;
+  next.members[static_cast<std::size_t>(silent - record.members.begin())] = comes->first;
+  std::sort(next.members.begin(), next.members.end());
+  renew(now, std::move(next));
+  return true;
 }
 
 NodeId Replica::chooseBackup(Millis now) const {
   NodeId best;
   Millis heard = now - kAliveWithin;
-  for (const NodeId& member : durable_.members) {
+  for (const NodeId& member : durable_.record.members) {
     const auto peer = peers_.find(member);
     if (member == self_ || member == durable_.record.backup || peer == peers_.end()) continue;
     if (peer->second.heardAt > heard) best = member, heard = peer->second.heardAt;
@@ -391,11 +472,14 @@
 // -------------------------------------------------------------------------------------------
 
 void Replica::tickFollower(Millis now) {
-  if (owes(now) || learning_) return;
+  if (owes(now) || empty_) return;
   if (ballot_ && now - ballot_->since < kBallotFor) return;
   if (standAfter_ <= 0) {
-    const auto place = std::lower_bound(durable_.members.begin(), durable_.members.end(), self_);
-    standAfter_ = now + timing_.stagger * static_cast<double>(place - durable_.members.begin());
+    // Who led last, and was only restarted, is helped at once.
+    const auto& members = durable_.record.members;
+    const auto place = std::lower_bound(members.begin(), members.end(), self_) - members.begin();
+    const bool ledLast = durable_.record.primary == self_ && durable_.promisedTo == self_;
+    standAfter_ = now + timing_.stagger * (ledLast ? 0.0 : static_cast<double>(place));
   }
   if (now < standAfter_) return;
   leader_.clear();
--- a/src/control/replica.hpp
+++ b/src/control/replica.hpp
@@ -2,12 +2,16 @@
 // holds. Events in, actions out; no socket, clock or disk of its own. All times are ms of the host's steady
 // clock.
 //
-// The members are the core machines that were told at the first start. Each keeps, on disk, the newest epoch
-// that it has promised and the newest record that it has taken; a record names one epoch's primary and
-// backup. The primary writes a change to its disk and to the backup's before it counts; the other members are
-// witnesses, which keep order and epochs only. A majority of members decides on a record. A member that has
-// heard from its primary helps nobody else for `lease` ms; the primary acts only for as long as a majority
-// owes it that, so that there are never two that act.
+// The first members are the core machines that were told at the first start. Each keeps, on disk, the newest
+// epoch that it has promised and the newest record that it has taken; a record names one epoch's primary,
+// backup and members. The primary writes a change to its disk and to the backup's before it counts; the other
+// members are witnesses, which keep order and epochs only. A majority of members decides on a record. A
+// member that has heard from its primary helps nobody else for `lease` ms; the primary acts only for as long
+// as a majority owes it that, so that there are never two that act.
+//
+// Other control nodes are observers: they take records and follow. The primary lets one of them take the
+// place of a member that stays silent, in two records: the first counts by majorities of the old members and
+// of the new ones, the second, once that one holds, by the new ones alone.
 #pragma once
 
 #include <cstdint>
@@ -37,11 +41,16 @@
   std::uint64_t previous = 0;  // the epoch whose state its primary started from
   bool renewed = false;        // by the primary of the epoch before, without a vote
   NodeId primary, backup;
+  std::vector<NodeId> members;  // sorted; empty: not known yet
+  std::vector<NodeId> leaving;  // sorted: the members before, while a change of them is on its way
+
+  bool has(const NodeId& node) const;  // as a member, a leaving one included
+  // Whether these nodes decide: a majority of the members and, during a change, of those before.
+  bool decides(const std::set<NodeId>& nodes) const;
 };
 
 // What must be on disk before any message that follows it leaves.
 struct Durable {
-  std::vector<NodeId> members;  // sorted; empty: not known yet
   std::uint64_t promised = 0;
   NodeId promisedTo;
   Record record;
@@ -58,9 +67,8 @@
   Record record;
   std::uint64_t dataEpoch = 0;
   std::uint64_t sequence = 0;
-  Millis sentAt = 0;            // beat: the sender's clock, given back by its ack
-  std::vector<NodeId> members;  // hello: as the sender knows them
-  std::optional<State> state;   // sync
+  Millis sentAt = 0;           // beat: the sender's clock, given back by its ack
+  std::optional<State> state;  // sync
 };
 
 class ReplicaHost {
@@ -82,7 +90,8 @@
     Millis slack = 100;         // kept from the lease for the rates of clocks
     Millis stagger = 200;       // between those who may stand for election
     Millis backupSilent = 800;  // then another member becomes the backup
-    Millis listenFirst = 2000;  // an empty disk: only listens for so long
+    Millis listenFirst = 2000;  // an empty disk: only listens for so long, and takes a record before it votes
+    Millis replaceAfter = 2500;  // of silence another node takes a member's place
     Millis resync = 400;
     Millis renewEvery = 500;  // an epoch, for members that have promised another
   };
@@ -107,7 +116,7 @@
   std::uint64_t epoch() const { return durable_.record.epoch; }
   // The node to go to, as far as this one knows; empty: none.
   const NodeId& leader() const { return leader_; }
-  const std::vector<NodeId>& members() const { return durable_.members; }
+  const std::vector<NodeId>& members() const { return durable_.record.members; }
   const Durable& durable() const { return durable_; }
   bool isPrimary() const { return primary_; }
 
@@ -124,10 +133,13 @@
     std::map<NodeId, Message> votes;
   };
 
-  std::size_t majority() const { return durable_.members.size() / 2 + 1; }
+  std::set<NodeId> everyMember() const;
   Millis leaseUntil(Millis now) const;
-  bool eligible(const std::map<NodeId, Message>& votes) const;
+  bool wins(const std::map<NodeId, Message>& votes) const;
+  bool eligible(const std::map<NodeId, Message>& votes, const Record& newest) const;
+  const Record& newestOf(const std::map<NodeId, Message>& votes) const;
   bool owes(Millis now) const;  // loyalty to a primary, or to one it may have forgotten
+  bool helps(Millis now, const NodeId& candidate) const;
   bool keep();
   void broadcast(const Message& message);
   Message make(Message::Kind kind) const;
@@ -146,12 +158,14 @@
   void tickFollower(Millis now);
   void probe(Millis now);
   void stand(Millis now);
-  bool isLoyal(Millis now) const { return primary_ ? now < leaseUntil(now) : owes(now); }
   std::uint64_t nextEpoch() const;
   void lead(Millis now, const Record& record);
   void sendSync(Millis now);
   void stepDown(const std::string& why);
   NodeId chooseBackup(Millis now) const;
+  void renew(Millis now, Record next);
+  bool replaceSilent(Millis now);
+  Millis heardAt(const NodeId& node) const;
 
   const NodeId self_;
   const std::vector<NodeId> seeds_;
@@ -159,8 +173,8 @@
   ReplicaHost& host_;
   Durable durable_;
   const Millis startedAt_;
-  bool fresh_;     // nothing was promised before this start: there is nothing to forget
-  bool learning_;  // an empty disk in a system that runs
+  bool fresh_;  // nothing was promised before this start: there is nothing to forget
+  bool empty_;  // a disk without anything in a system that runs; until a record has been taken
   bool failed_ = false;
   bool resigned_ = false;
 
@@ -176,7 +190,9 @@
   bool proposed_ = false;  // a change is on its way
   std::shared_ptr<State> committed_;
   std::map<NodeId, Peer> peers_;
-  std::map<NodeId, Millis> observers_;
+  std::map<NodeId, Millis> observers_;  // when they last said hello
+  std::vector<NodeId> contacts_;        // members of the newest record that others have told of
+  std::uint64_t contactsEpoch_ = 0;
   Millis beatAt_ = -1e18, syncAt_ = -1e18;
   Millis ledSince_ = 0, electedAt_ = 0;  // under this record; at all
 };
--- a/src/control/wire.cpp
+++ b/src/control/wire.cpp
@@ -9,11 +9,15 @@
 constexpr const char* kNames[] = {"hello", "beat", "beat-ack", "probe",  "would-vote",
                                   "ask",   "vote", "sync",     "synced", "resign"};
 
-json recordOf(const Record& r) { return json::array({r.epoch, r.previous, r.renewed, r.primary, r.backup}); }
+json recordOf(const Record& r) {
+  return json::array({r.epoch, r.previous, r.renewed, r.primary, r.backup, r.members, r.leaving});
+}
 
 Record recordFrom(const json& in) {
-  return {in.at(0).get<std::uint64_t>(), in.at(1).get<std::uint64_t>(), in.at(2).get<bool>(),
-          in.at(3).get<std::string>(), in.at(4).get<std::string>()};
+  return {
+      in.at(0).get<std::uint64_t>(),      in.at(1).get<std::uint64_t>(), in.at(2).get<bool>(),
+      in.at(3).get<std::string>(),        in.at(4).get<std::string>(),   in.at(5).get<std::vector<NodeId>>(),
+      in.at(6).get<std::vector<NodeId>>()};
 }
 
 std::string kindOf(const Frame& frame) {
@@ -64,7 +68,6 @@
               {"data", m.dataEpoch},
               {"seq", m.sequence},
               {"at", m.sentAt}};
-  if (!m.members.empty()) out.head["members"] = m.members;
   if (m.state) addState(*m.state, out);
   return out;
 }
@@ -84,7 +87,6 @@
     in.at("data").get_to(out.dataEpoch);
     in.at("seq").get_to(out.sequence);
     in.at("at").get_to(out.sentAt);
-    if (in.contains("members")) in.at("members").get_to(out.members);
     if (in.contains("state")) out.state = stateFrom(in.at("state"), std::move(frame.body));
     return out;
   });
@@ -118,12 +120,12 @@
 Frame toFrame(const FollowAnswer& a) {
   Frame out;
   if (!a.leader.empty() || a.epoch == 0) {
-    out.head = {{kKind, "elsewhere"}, {"leader", a.leader}};
+    out.head = {{kKind, "elsewhere"}, {"leader", a.leader}, {"core", a.core}};
     return out;
   }
-  out.head = {{kKind, "news"},          {"epoch", a.epoch},
-              {"place", a.news.place},  {"revision", a.news.revision},
-              {"fleet", a.gatekeepers}, {"grant", a.grant}};
+  out.head = {
+      {kKind, "news"},          {"epoch", a.epoch}, {"place", a.news.place}, {"revision", a.news.revision},
+      {"fleet", a.gatekeepers}, {"grant", a.grant}, {"core", a.core}};
   if (a.news.servers) {
     out.head["snapshot"] = a.news.snapshot;
     out.head["set"] = a.news.set;
@@ -145,6 +147,7 @@
   return whole<FollowAnswer>([&] {
     FollowAnswer out;
     const json& in = frame.head;
+    in.at("core").get_to(out.core);
     if (kind == "elsewhere") {
       in.at("leader").get_to(out.leader);
       return out;
--- a/src/control/wire.hpp
+++ b/src/control/wire.hpp
@@ -29,6 +29,7 @@
   std::size_t gatekeepers = 0;
   std::uint64_t grant = 0;
   std::vector<ShareLedger::Grant> grants;
+  std::vector<NodeId> core;  // its members, as the one that answers knows them
 };
 
 Frame toFrame(const FollowCall& call);
--- a/src/gateway/follower.cpp
+++ b/src/gateway/follower.cpp
@@ -16,6 +16,7 @@
 constexpr auto kAnswerWithin = 700ms;
 constexpr auto kAfterFailure = 60ms;
 constexpr auto kNobodyLeads = 120ms;
+constexpr std::ptrdiff_t kMostCandidates = 12;  // the newest ones
 
 }  // namespace
 
@@ -35,6 +36,19 @@
   for (const Endpoint& each : candidates)
     if (std::find(candidates_.begin(), candidates_.end(), each) == candidates_.end())
       candidates_.push_back(each);
+  if (std::ssize(candidates_) > kMostCandidates)
+    candidates_.erase(candidates_.begin(), candidates_.end() - kMostCandidates);
+}
+
+// The core's members change: who is asked when the primary falls silent must not be only those told first.
+void Follower::learn(const std::vector<NodeId>& core) {
+  try {
+    std::vector<Endpoint> told;
+    for (const NodeId& node : core) told.push_back(parseAddress(node, "core"));
+    add(told);
+  } catch (const SettingsError& why) {
+    log_(std::string("a core member's address cannot be read: ") + why.what());
+  }
 }
 
 void Follower::again(std::chrono::milliseconds wait) {
@@ -80,6 +94,7 @@
     next();
     return again(kAfterFailure);
   }
+  learn(answer->core);
   if (answer->epoch == 0) {
     try {
       if (answer->leader.empty())
--- a/src/gateway/follower.hpp
+++ b/src/gateway/follower.hpp
@@ -34,6 +34,7 @@
  private:
   void poll();
   void answered(std::optional<Frame> frame, Millis sentAt);
+  void learn(const std::vector<NodeId>& core);
   void go(const Endpoint& to);
   void next();
   void again(std::chrono::milliseconds wait);
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -31,7 +31,8 @@
   json prints = json::array();
   for (const auto& [revision, print] : d.state.fingerprint) prints.push_back({revision, print});
   return {{"form", 1},
-          {"members", d.members},
+          {"members", d.record.members},
+          {"leaving", d.record.leaving},
           {"promised", d.promised},
           {"promisedTo", d.promisedTo},
           {"epoch", d.record.epoch},
@@ -48,7 +49,8 @@
 
 Durable fromMeta(const json& in) {
   Durable out;
-  in.at("members").get_to(out.members);
+  in.at("members").get_to(out.record.members);
+  out.record.leaving = in.value("leaving", std::vector<NodeId>());  // not in the first files
   in.at("promised").get_to(out.promised);
   in.at("promisedTo").get_to(out.promisedTo);
   in.at("epoch").get_to(out.record.epoch);
--- a/tests/system/core_world.hpp
+++ b/tests/system/core_world.hpp
@@ -16,23 +16,26 @@
 
 class CoreWorld {
  public:
-  explicit CoreWorld(std::uint64_t seed, unsigned members = 3) : random_(seed) {
-    for (unsigned i = 0; i < members; ++i) names_.push_back("10.0.0." + std::to_string(i + 1) + ":7560");
+  explicit CoreWorld(std::uint64_t seed, unsigned members = 3, unsigned spares = 0) : random_(seed) {
+    for (unsigned i = 0; i < members + spares; ++i)
+      names_.push_back("10.0.0." + std::to_string(i + 1) + ":7560");
     for (const NodeId& name : names_) nodes_[name];
+    seeds_.assign(names_.begin(), names_.begin() + members);
   }
 
   double chance() { return std::uniform_real_distribution<>(0, 1)(random_); }
   const std::vector<NodeId>& names() const { return names_; }
+  void seeds(std::vector<NodeId> told) { seeds_ = std::move(told); }  // to those who start from here on
   Millis now() const { return now_; }
 
   void start(const NodeId& name, bool bootstrap) {
     Node& node = nodes_[name];
     node.host = std::make_unique<Host>(*this, name);
     node.replica =
-        std::make_unique<Replica>(name, names_, bootstrap, node.disk, Replica::Timing{}, now_, *node.host);
+        std::make_unique<Replica>(name, seeds_, bootstrap, node.disk, Replica::Timing{}, now_, *node.host);
   }
   void startAll() {
-    for (const NodeId& name : names_) start(name, true);
+    for (const NodeId& name : seeds_) start(name, true);
   }
   void kill(const NodeId& name) { nodes_[name].replica.reset(); }
   void wipe(const NodeId& name) { nodes_[name].disk.reset(); }
@@ -139,7 +142,7 @@
   }
 
   std::mt19937_64 random_;
-  std::vector<NodeId> names_;
+  std::vector<NodeId> names_, seeds_;  // the seeds are the first members
   std::map<NodeId, Node> nodes_;
   std::priority_queue<Mail> mail_;
   std::set<NodeId> cut_;
--- a/tests/system/parts_test.cpp
+++ b/tests/system/parts_test.cpp
@@ -226,10 +226,9 @@
       std::filesystem::temp_directory_path() / ("lilacmux-store-" + std::to_string(::getpid()));
   std::filesystem::remove_all(folder);
   Durable kept;
-  kept.members = {"a", "b"};
   kept.promised = 4;
   kept.promisedTo = "a";
-  kept.record = {3, 2, true, "a", "b"};
+  kept.record = {3, 2, true, "a", "b", {"a", "b"}, {"b", "c"}};
   kept.dataEpoch = 3;
   kept.state = {9, 5, std::make_shared<const std::string>(std::string("\0\1", 2)), {{5, 77}}, {"g"}};
   const auto silent = [](const std::string&) {};
@@ -242,7 +241,8 @@
     Store store(folder, silent);
     const auto read = store.read();
     ASSERT_TRUE(read);
-    EXPECT_EQ(read->members, kept.members);
+    EXPECT_EQ(read->record.members, kept.record.members);
+    EXPECT_EQ(read->record.leaving, kept.record.leaving);
     EXPECT_EQ(read->promised, 4u);
     EXPECT_EQ(read->record.epoch, 3u);
     EXPECT_TRUE(read->record.renewed);
--- a/tests/system/replica_test.cpp
+++ b/tests/system/replica_test.cpp
@@ -137,6 +137,106 @@
   EXPECT_EQ(world.at(*world.server()).committed().revision, 1u);
 }
 
+// The core outlives all the machines it began on, one after the other, each followed by an empty one
+// elsewhere.
+TEST(Replica, MachinesReplacedOneByOneLeaveAMajorityAndWhatWasAcknowledged) {
+  for (std::uint64_t seed = 0; seed < 40; ++seed) {
+    CoreWorld world(seed, 3, 4);
+    world.loss(seed % 2 == 0 ? 0.05 : 0);
+    world.startAll();
+    ASSERT_TRUE(world.settle(3000));
+    for (std::size_t round = 0; round < 4; ++round) {
+      ASSERT_TRUE(world.propose()) << "seed " << seed;
+      world.run(300);
+      const auto primary = world.server();
+      ASSERT_TRUE(primary);
+      const auto members = world.at(*primary).members();
+      const NodeId lost = members[static_cast<std::size_t>(3 * world.chance())];
+      world.kill(lost);
+      world.wipe(lost);
+      world.run(2000 * world.chance());
+      world.seeds({*primary == lost ? members[lost == members[0]] : *primary});  // a seed that is up
+      world.start(world.names()[3 + round], false);
+      world.run(9000);
+      ASSERT_TRUE(world.settle(kTakeover)) << "seed " << seed << " round " << round;
+      const auto now = world.at(*world.server()).members();
+      EXPECT_EQ(std::count(now.begin(), now.end(), lost), 0) << "seed " << seed << " round " << round;
+      EXPECT_EQ(now.size(), 3u);
+    }
+    EXPECT_EQ(world.at(*world.server()).committed().revision, 4u);
+    if (testing::Test::HasFailure()) FAIL() << "seed " << seed;
+  }
+}
+
+TEST(Replica, AMemberThatWasReplacedComesBackAndTakesTheNextPlace) {
+  CoreWorld world(11, 3, 1);
+  world.startAll();
+  world.start(world.names()[3], false);
+  ASSERT_TRUE(world.settle(3000));
+  const NodeId first = *world.server() == world.names()[2] ? world.names()[1] : world.names()[2];
+  world.kill(first);
+  world.run(6000);
+  EXPECT_FALSE(world.at(*world.server()).durable().record.has(first));
+  world.start(first, false);
+  world.run(4000);
+  EXPECT_FALSE(world.at(first).isMember()) << "it must learn that it is none any more";
+  EXPECT_EQ(world.at(first).leader(), *world.server());
+  ASSERT_TRUE(world.propose());
+  world.run(300);
+  const NodeId second = *world.server();
+  world.kill(second);
+  world.run(9000);
+  ASSERT_TRUE(world.settle(kTakeover));
+  EXPECT_TRUE(world.at(*world.server()).durable().record.has(first));
+  EXPECT_EQ(world.at(*world.server()).committed().revision, 1u);
+}
+
+// An empty disk has forgotten what it promised and took: alone with a member that was away for the last
+// change it must not make up a majority.
+TEST(Replica, AnEmptyMemberDoesNotVoteBeforeItHasTakenARecord) {
+  CoreWorld world(12);
+  world.startAll();
+  ASSERT_TRUE(world.settle(3000));
+  const NodeId primary = *world.server(), backup = world.at(primary).durable().record.backup;
+  NodeId witness;
+  for (const NodeId& name : world.names())
+    if (name != primary && name != backup) witness = name;
+  world.kill(witness);
+  ASSERT_TRUE(world.propose());
+  world.run(300);
+  ASSERT_EQ(world.acknowledged, 1u);
+  world.kill(primary);
+  world.kill(backup);
+  world.wipe(backup);
+  world.start(witness, false);
+  world.start(backup, false);
+  world.run(8000);
+  EXPECT_FALSE(world.server());
+  world.start(primary, false);
+  ASSERT_TRUE(world.settle(kTakeover));
+  EXPECT_EQ(world.at(*world.server()).committed().revision, 1u);
+}
+
+// Its loyalty keeps a member from helping others, not from helping its own primary back.
+TEST(Replica, APrimaryThatWasOnlyRestartedLeadsAgainAtOnce) {
+  for (const bool all : {false, true}) {
+    CoreWorld world(13);
+    world.startAll();
+    ASSERT_TRUE(world.settle(3000));
+    ASSERT_TRUE(world.propose());
+    world.run(500);
+    const NodeId primary = *world.server();
+    for (const NodeId& name : world.names())
+      if (all || name == primary) world.kill(name);
+    world.run(200);
+    for (const NodeId& name : world.names())
+      if (!world.up(name)) world.start(name, false);
+    ASSERT_TRUE(world.settle(500)) << (all ? "all" : "one");
+    EXPECT_EQ(*world.server(), primary);
+    EXPECT_EQ(world.at(primary).committed().revision, 1u);
+  }
+}
+
 // One loss at a time, at any moment, with lossy links and changes all along: never two that serve, never old
 // state, and rest within seconds once the trouble is over.
 TEST(Replica, BearsOneLossAtATimeWhenever) {
