Make an epoch a round by vote and a place in it; play seeded storms over the core

Cause: a primary could renew its record under the next epoch's number without a vote, while another was voted that same number. The two records looked alike, and the primary of the first, coming back, held its old state for the newest: an acknowledged change was lost.

Change: a vote opens a round, its winner's own changes take the next place in the round; who has promised a newer round takes nothing of an older one. A primary that a member with a vain promise refuses is voted anew.

--- a/src/control/replica.cpp
+++ b/src/control/replica.cpp
@@ -21,6 +21,10 @@
 
 }  // namespace
 
+std::string epochText(std::uint64_t epoch) {
+  return std::to_string(roundOf(epoch)) + "." + std::to_string(epoch - (roundOf(epoch) << kPlaceBits));
+}
+
 bool Record::has(const NodeId& node) const { return contains(members, node) || contains(leaving, node); }
 
 bool Record::decides(const std::set<NodeId>& nodes) const {
@@ -175,11 +179,9 @@
   Message answer = make(Message::Kind::beatAck);
   answer.sentAt = message.sentAt;
   answer.epoch = durable_.promised;
-  // A record that was renewed without a vote must not go over one that a vote has made meanwhile.
-  const bool stale = message.epoch < std::max(durable_.promised, durable_.record.epoch) ||
-                     (message.epoch == durable_.promised && durable_.promisedTo != message.from) ||
-                     (message.record.renewed && message.epoch != durable_.record.epoch &&
-                      message.record.previous < durable_.record.epoch);
+  const bool stale =
+      message.epoch < std::max(durable_.promised, durable_.record.epoch) ||
+      (roundOf(message.epoch) == roundOf(durable_.promised) && durable_.promisedTo != message.from);
   if (stale) return host_.send(message.from, answer);
   if (primary_) stepDown("another primary has a newer epoch");
   leader_ = message.from;
@@ -202,11 +204,12 @@
 void Replica::onBeatAck(Millis now, const Message& message) {
   if (!primary_) return;
   if (!message.yes) {
-    // A member that has promised another epoch in vain would be lost to this one: it goes on under a newer
-    // one.
+    // A member that has promised another round in vain would be lost to this one: it is voted anew.
     seen_ = std::max(seen_, message.epoch);
-    if (message.epoch < durable_.record.epoch || now - ledSince_ < timing_.renewEvery) return;
-    return renew(now, durable_.record);
+    const bool toThisRecord = message.sentAt >= ledSince_;
+    if (toThisRecord && roundOf(message.epoch) >= roundOf(durable_.record.epoch) && now >= standAfter_)
+      stand(now);
+    return;
   }
   Peer& peer = peers_[message.from];
   peer.ackedSentAt = std::max(peer.ackedSentAt, message.sentAt);
@@ -257,7 +260,6 @@
   Record record = newestOf(won.votes);
   record.previous = record.epoch;
   record.epoch = won.epoch;
-  record.renewed = false;
   record.primary = self_;
   record.backup.clear();
   for (const auto& [from, vote] : won.votes) {
@@ -314,12 +316,13 @@
   if (!primary_ || message.epoch != durable_.record.epoch || message.from != durable_.record.backup) return;
   peers_[message.from].heardAt = now;
   if (message.sequence != durable_.state.sequence) return;
+  if (now >= leaseUntil(now)) return;  // after a standstill: others may have gone on
   std::set<NodeId> took{self_};
   for (const auto& [node, peer] : peers_)
     if (peer.tookEpoch == durable_.record.epoch) took.insert(node);
   if (!durable_.record.decides(took)) return;
   const bool news = !committed_ || committed_->sequence != durable_.state.sequence;
-  if (!committed_) host_.log("primary in epoch " + std::to_string(durable_.record.epoch));
+  if (!committed_) host_.log("primary in epoch " + epochText(durable_.record.epoch));
   settled_ = true;
   if (news) committed_ = std::make_shared<State>(durable_.state);
   proposed_ = false;
@@ -333,14 +336,14 @@
 // --- As a primary
 // --------------------------------------------------------------------------------------------
 
-std::uint64_t Replica::nextEpoch() const {
-  return std::max({durable_.promised, durable_.record.epoch, seen_}) + 1;
+std::uint64_t Replica::nextRound() const {
+  return (roundOf(std::max({durable_.promised, durable_.record.epoch, seen_})) + 1) << kPlaceBits;
 }
 
 void Replica::renew(Millis now, Record next) {
+  if (durable_.promised != durable_.record.epoch) return;  // it stands again: in the next round
   next.previous = durable_.record.epoch;
-  next.epoch = nextEpoch();
-  next.renewed = true;
+  next.epoch = durable_.record.epoch + 1;
   lead(now, next);
 }
 
@@ -495,8 +498,9 @@
 }
 
 void Replica::stand(Millis now) {
-  durable_.promised = nextEpoch();
+  durable_.promised = nextRound();
   durable_.promisedTo = self_;
+  standAfter_ = primary_ ? now + timing_.standAgain : 0;
   if (!keep()) return;
   ballot_ = Ballot{true, durable_.promised, now, {}};
   Message ask = make(Message::Kind::ask);
--- a/src/control/replica.hpp
+++ b/src/control/replica.hpp
@@ -9,6 +9,10 @@
 // member that has heard from its primary helps nobody else for `lease` ms; the primary acts only for as long
 // as a majority owes it that, so that there are never two that act.
 //
+// An epoch is a round and a place in it: a vote opens a round, and what its winner changes later (its backup,
+// the members) takes the next place in it without a vote. So no two primaries ever name the same epoch, and
+// whoever has promised a newer round takes nothing more of an older one.
+//
 // Other control nodes are observers: they take records and follow. The primary lets one of them take the
 // place of a member that stays silent, in two records: the first counts by majorities of the old members and
 // of the new ones, the second, once that one holds, by the new ones alone.
@@ -36,10 +40,13 @@
   std::set<std::string> holders;                       // gatekeepers that may have been lent shares of quotas
 };
 
+constexpr unsigned kPlaceBits = 20;  // of an epoch, the lowest; above them the round
+constexpr std::uint64_t roundOf(std::uint64_t epoch) { return epoch >> kPlaceBits; }
+std::string epochText(std::uint64_t epoch);  // round.place
+
 struct Record {
   std::uint64_t epoch = 0;
   std::uint64_t previous = 0;  // the epoch whose state its primary started from
-  bool renewed = false;        // by the primary of the epoch before, without a vote
   NodeId primary, backup;
   std::vector<NodeId> members;  // sorted; empty: not known yet
   std::vector<NodeId> leaving;  // sorted: the members before, while a change of them is on its way
@@ -93,7 +100,7 @@
     Millis listenFirst = 2000;  // an empty disk: only listens for so long, and takes a record before it votes
     Millis replaceAfter = 2500;  // of silence another node takes a member's place
     Millis resync = 400;
-    Millis renewEvery = 500;  // an epoch, for members that have promised another
+    Millis standAgain = 500;  // of a primary, for members that have promised another round in vain
   };
 
   // `seeds`: the control nodes that were told, this one included or not. `bootstrap`: the whole system starts
@@ -158,7 +165,7 @@
   void tickFollower(Millis now);
   void probe(Millis now);
   void stand(Millis now);
-  std::uint64_t nextEpoch() const;
+  std::uint64_t nextRound() const;
   void lead(Millis now, const Record& record);
   void sendSync(Millis now);
   void stepDown(const std::string& why);
--- a/src/control/wire.cpp
+++ b/src/control/wire.cpp
@@ -10,14 +10,18 @@
                                   "ask",   "vote", "sync",     "synced", "resign"};
 
 json recordOf(const Record& r) {
-  return json::array({r.epoch, r.previous, r.renewed, r.primary, r.backup, r.members, r.leaving});
+  return json::array({r.epoch, r.previous, r.primary, r.backup, r.members, r.leaving});
 }
 
 Record recordFrom(const json& in) {
-  return {
-      in.at(0).get<std::uint64_t>(),      in.at(1).get<std::uint64_t>(), in.at(2).get<bool>(),
-      in.at(3).get<std::string>(),        in.at(4).get<std::string>(),   in.at(5).get<std::vector<NodeId>>(),
-      in.at(6).get<std::vector<NodeId>>()};
+  Record out;
+  in.at(0).get_to(out.epoch);
+  in.at(1).get_to(out.previous);
+  in.at(2).get_to(out.primary);
+  in.at(3).get_to(out.backup);
+  in.at(4).get_to(out.members);
+  in.at(5).get_to(out.leaving);
+  return out;
 }
 
 std::string kindOf(const Frame& frame) {
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -37,7 +37,6 @@
           {"promisedTo", d.promisedTo},
           {"epoch", d.record.epoch},
           {"previous", d.record.previous},
-          {"renewed", d.record.renewed},
           {"primary", d.record.primary},
           {"backup", d.record.backup},
           {"dataEpoch", d.dataEpoch},
@@ -55,7 +54,6 @@
   in.at("promisedTo").get_to(out.promisedTo);
   in.at("epoch").get_to(out.record.epoch);
   in.at("previous").get_to(out.record.previous);
-  in.at("renewed").get_to(out.record.renewed);
   in.at("primary").get_to(out.record.primary);
   in.at("backup").get_to(out.record.backup);
   in.at("dataEpoch").get_to(out.dataEpoch);
--- a/tests/system/core_world.hpp
+++ b/tests/system/core_world.hpp
@@ -1,14 +1,17 @@
-// A core of control members under a simulated clock and network, for the tests: delays, losses, cuts, kills
-// and lost disks, all by seed.
+// A core of control members under a simulated clock, network and disk, for the tests: delays, losses, cuts
+// (one way too), kills, freezes, lost, stalling and full disks, all by seed. What must never be is noted in
+// `violations`: two that serve at once, old state served, an acknowledged change gone.
 #pragma once
 
-#include <gtest/gtest.h>
-
+#include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <queue>
 #include <random>
 #include <set>
+#include <string>
+#include <vector>
 
 #include "control/replica.hpp"
 
@@ -16,11 +19,13 @@
 
 class CoreWorld {
  public:
-  explicit CoreWorld(std::uint64_t seed, unsigned members = 3, unsigned spares = 0) : random_(seed) {
-    for (unsigned i = 0; i < members + spares; ++i)
+  explicit CoreWorld(std::uint64_t seed, std::size_t members = 3, std::size_t spares = 0,
+                     Replica::Timing timing = {})
+      : random_(seed), timing_(timing) {
+    for (std::size_t i = 0; i < members + spares; ++i)
       names_.push_back("10.0.0." + std::to_string(i + 1) + ":7560");
     for (const NodeId& name : names_) nodes_[name];
-    seeds_.assign(names_.begin(), names_.begin() + members);
+    seeds_.assign(names_.begin(), names_.begin() + static_cast<long>(members));
   }
 
   double chance() { return std::uniform_real_distribution<>(0, 1)(random_); }
@@ -31,15 +36,21 @@
   void start(const NodeId& name, bool bootstrap) {
     Node& node = nodes_[name];
     node.host = std::make_unique<Host>(*this, name);
-    node.replica =
-        std::make_unique<Replica>(name, seeds_, bootstrap, node.disk, Replica::Timing{}, now_, *node.host);
+    node.replica = std::make_unique<Replica>(name, seeds_, bootstrap, node.disk, timing_, now_, *node.host);
   }
   void startAll() {
     for (const NodeId& name : seeds_) start(name, true);
   }
   void kill(const NodeId& name) { nodes_[name].replica.reset(); }
   void wipe(const NodeId& name) { nodes_[name].disk.reset(); }
+  // Stands still: nothing of it runs, and what is sent to it waits.
+  void freeze(const NodeId& name, Millis span) { nodes_[name].frozenUntil = now_ + span; }
+  void stall(const NodeId& name, Millis each) { nodes_[name].syncTakes = each; }
+  void full(const NodeId& name, bool yes) { nodes_[name].full = yes; }
   void cut(const NodeId& name, bool yes) { yes ? (void)cut_.insert(name) : (void)cut_.erase(name); }
+  void cutOneWay(const NodeId& from, const NodeId& to, bool yes) {
+    yes ? (void)oneWay_.insert({from, to}) : (void)oneWay_.erase({from, to});
+  }
   bool up(const NodeId& name) { return nodes_[name].replica != nullptr; }
   Replica& at(const NodeId& name) { return *nodes_[name].replica; }
   void loss(double share) { loss_ = share; }
@@ -50,7 +61,7 @@
     std::optional<NodeId> out;
     for (const NodeId& name : names_) {
       if (!up(name) || !at(name).mayServe(now_)) continue;
-      EXPECT_FALSE(out) << "two serve at " << now_ << ": " << *out << " and " << name;
+      if (out) violate("two serve: " + *out + " and " + name);
       out = name;
     }
     return out;
@@ -63,11 +74,15 @@
       while (!mail_.empty() && mail_.top().at <= now_) {
         const Mail mail = mail_.top();
         mail_.pop();
-        if (up(mail.to) && !cut_.contains(mail.to) && !cut_.contains(mail.message.from))
+        if (!up(mail.to) || cut_.contains(mail.to) || cut_.contains(mail.message.from)) continue;
+        const Millis frozenUntil = nodes_[mail.to].frozenUntil;
+        if (now_ < frozenUntil)
+          mail_.push({frozenUntil, ++mails_, mail.to, mail.message});
+        else
           at(mail.to).receive(now_, mail.message);
       }
       for (std::size_t i = 0; i < names_.size(); ++i)
-        if (up(names_[i]) && static_cast<long>(now_ / 5) % 20 == static_cast<long>(i))
+        if (runs(names_[i]) && static_cast<long>(now_ / 5) % 20 == static_cast<long>(i))
           at(names_[i]).tick(now_);
       check();
     }
@@ -86,7 +101,7 @@
   // Proposes the next revision where that can be done.
   bool propose() {
     const auto serves = server();
-    if (!serves || !at(*serves).canWrite(now_)) return false;
+    if (!serves || !runs(*serves) || !at(*serves).canWrite(now_)) return false;
     State next = at(*serves).committed();
     ++next.sequence;
     next.revision = ++lastRevision_;
@@ -95,6 +110,10 @@
     return true;
   }
 
+  bool runs(const NodeId& name) { return up(name) && now_ >= nodes_[name].frozenUntil; }
+
+  std::function<void(const std::string&)> trace;  // a line for each thing that is kept or said
+  std::vector<std::string> violations;
   std::uint64_t acknowledged = 0;  // the newest revision that a primary has called committed
   std::uint64_t commits = 0;
 
@@ -103,16 +122,21 @@
     Host(CoreWorld& w, NodeId s) : world(w), self(std::move(s)) {}
     void send(const NodeId& to, const Message& message) override { world.post(self, to, message); }
     bool store(const Durable& durable) override {
-      world.nodes_[self].disk = durable;
+      Node& node = world.nodes_[self];
+      if (node.full) return false;
+      if (node.syncTakes > 0) node.frozenUntil = std::max(node.frozenUntil, world.now_ + node.syncTakes);
+      node.disk = durable;
+      if (world.trace) world.tell(self, stateOf(durable));
       return true;
     }
     void committed(const State& state) override {
-      EXPECT_GE(state.revision, world.acknowledged) << "an acknowledged change is lost, at " << world.now_;
+      if (state.revision < world.acknowledged) world.violate("an acknowledged change is lost");
+      world.tell(self, "acknowledges revision " + std::to_string(state.revision));
       world.acknowledged = std::max(world.acknowledged, state.revision);
       ++world.commits;
     }
     void lostPrimacy() override {}
-    void log(const std::string&) override {}
+    void log(const std::string& line) override { world.tell(self, line); }
     CoreWorld& world;
     const NodeId self;
   };
@@ -120,7 +144,19 @@
     std::unique_ptr<Host> host;
     std::unique_ptr<Replica> replica;
     std::optional<Durable> disk;
+    Millis frozenUntil = 0, syncTakes = 0;
+    bool full = false;
   };
+  static std::string stateOf(const Durable& d) {
+    const Record& r = d.record;
+    return "keeps promise " + epochText(d.promised) + " to " + d.promisedTo + ", record " +
+           epochText(r.epoch) + " after " + epochText(r.previous) + " " + r.primary + "/" + r.backup +
+           " of " + std::to_string(r.members.size()) + "+" + std::to_string(r.leaving.size()) + ", data " +
+           epochText(d.dataEpoch) + " revision " + std::to_string(d.state.revision);
+  }
+  void tell(const NodeId& who, const std::string& what) const {
+    if (trace) trace(std::to_string(static_cast<long>(now_)) + " " + who + " " + what);
+  }
   struct Mail {
     Millis at;
     std::uint64_t number;
@@ -130,22 +166,28 @@
   };
 
   void post(const NodeId& from, const NodeId& to, const Message& message) {
-    if (cut_.contains(from) || chance() < loss_) return;
-    const Millis delay = 1 + 4 * chance() + slow_[from] + slow_[to];
+    if (cut_.contains(from) || oneWay_.contains({from, to}) || chance() < loss_) return;
+    // What a stalling disk holds up goes out after it.
+    const Millis held = std::max(0.0, nodes_[from].frozenUntil - now_);
+    const Millis delay = 1 + 4 * chance() + slow_[from] + slow_[to] + held;
     mail_.push({now_ + delay, ++mails_, to, message});
   }
   // Whoever serves knows all that was acknowledged.
   void check() {
-    if (const auto serves = server()) {
-      EXPECT_GE(at(*serves).committed().revision, acknowledged) << "served from old state at " << now_;
-    }
+    const auto serves = server();
+    if (serves && at(*serves).committed().revision < acknowledged) violate(*serves + " serves old state");
+  }
+  void violate(const std::string& what) {
+    if (violations.size() < 5) violations.push_back("at " + std::to_string(now_) + ": " + what);
   }
 
   std::mt19937_64 random_;
+  const Replica::Timing timing_;
   std::vector<NodeId> names_, seeds_;  // the seeds are the first members
   std::map<NodeId, Node> nodes_;
   std::priority_queue<Mail> mail_;
   std::set<NodeId> cut_;
+  std::set<std::pair<NodeId, NodeId>> oneWay_;
   std::map<NodeId, Millis> slow_;
   double loss_ = 0;
   std::uint64_t mails_ = 0;
--- a/tests/system/parts_test.cpp
+++ b/tests/system/parts_test.cpp
@@ -262,7 +262,7 @@
   Durable kept;
   kept.promised = 4;
   kept.promisedTo = "a";
-  kept.record = {3, 2, true, "a", "b", {"a", "b"}, {"b", "c"}};
+  kept.record = {3, 2, "a", "b", {"a", "b"}, {"b", "c"}};
   kept.dataEpoch = 3;
   kept.state = {9, 5, std::make_shared<const std::string>(std::string("\0\1", 2)), {{5, 77}}, {"g"}};
   const auto silent = [](const std::string&) {};
@@ -279,7 +279,6 @@
     EXPECT_EQ(read->record.leaving, kept.record.leaving);
     EXPECT_EQ(read->promised, 4u);
     EXPECT_EQ(read->record.epoch, 3u);
-    EXPECT_TRUE(read->record.renewed);
     EXPECT_EQ(*read->state.body, *kept.state.body);
     EXPECT_EQ(read->state.fingerprint, kept.state.fingerprint);
     EXPECT_EQ(read->state.holders, kept.state.holders);
--- a/tests/system/replica_test.cpp
+++ b/tests/system/replica_test.cpp
@@ -1,4 +1,7 @@
 // Who leads, what an acknowledged change survives, and that the core comes to rest again.
+#include <gtest/gtest.h>
+
+#include "core_storm.hpp"
 #include "core_world.hpp"
 
 namespace lilacmux::test {
@@ -166,7 +169,7 @@
     }
     EXPECT_GE(world.at(*world.server()).committed().revision, world.acknowledged);
     EXPECT_GE(world.acknowledged, 4u);
-    if (testing::Test::HasFailure()) FAIL() << "seed " << seed;
+    if (testing::Test::HasFailure() || !world.violations.empty()) FAIL() << "seed " << seed;
   }
 }
 
@@ -256,7 +259,23 @@
       ASSERT_TRUE(world.settle(6000)) << "seed " << seed << " round " << round;
     }
     EXPECT_GT(world.commits, 8u);
-    if (testing::Test::HasFailure()) FAIL() << "seed " << seed;
+    if (testing::Test::HasFailure() || !world.violations.empty()) FAIL() << "seed " << seed;
+  }
+}
+
+// A fixed set of storms, and those that have failed once; `core_storms` plays on for as long as it is told.
+// Found by them: two records under one epoch's number, the one voted, the other a primary's own (100465 and
+// the three after it); a primary that acknowledged after a standstill, past its lease (18).
+TEST(Replica, BearsAFixedSetOfStorms) {
+  std::vector<std::uint64_t> seeds{100465, 300405, 401155, 201537};
+  for (std::uint64_t seed = 0; seed < 200; ++seed) seeds.push_back(seed);
+  for (const std::uint64_t seed : seeds) {
+    const Storm storm = drawStorm(seed);
+    const auto failures = StormPlay(storm).run();
+    if (failures.empty()) continue;
+    std::string needs;
+    for (const Trouble& trouble : shrink(storm).troubles) needs += "\n  " + describe(trouble);
+    FAIL() << "seed " << seed << ": " << failures.front() << needs;
   }
 }
 
