Keep the store through lost names, full disks and bodies that share a number

A failed write leaves its log out of step, so that later ones are not read back. A start on a full disk led to repair and to setting the store aside. A body under a sequence that another body had had before was not written.

Change: the folder and its parent are synced before anything is promised; after one failed write a store writes nothing more, and the member starts anew from its disk once that takes bytes again; only what LevelDB calls damaged is repaired or set aside, and such a member votes as one that lost its disk; bodies are told apart by their bytes.

--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -18,6 +18,7 @@
 
 constexpr auto kHeardWithin = 600ms;  // a member's word at another, else the connection is given up
 constexpr auto kTick = 100ms;
+constexpr Millis kRecoverEvery = 1000;
 constexpr auto kLeaveAfter = 300ms;  // what was said last goes out
 constexpr std::size_t kMostWaiting = 64;
 constexpr std::size_t kManyHolders = 64;  // names kept before those of the gone are dropped
@@ -61,11 +62,9 @@
       settings_(checked(settings)),
       log_(std::move(log)),
       self_(settings.address + ":" + std::to_string(controlPort(settings))),
-      store_(*settings.dataDirectory / "control", log_),
       tick_(io),
       leave_(io) {
-  replica_ = std::make_unique<Replica>(self_, internal(settings_), settings_.bootstrap, store_.read(),
-                                       Replica::Timing{}, now(), static_cast<ReplicaHost&>(*this));
+  begin(settings_.bootstrap);
   frames_.emplace(
       io_, Endpoint(boost::asio::ip::make_address(settings_.address), controlPort(settings_)), kLinks,
       [this](Frame&& frame, const FrameServer::Reply& reply) { framed(std::move(frame), reply); }, log_);
@@ -97,7 +96,29 @@
   leave_.async_wait([done = std::move(done)](const boost::system::error_code&) { done(); });
 }
 
+void ControlNode::begin(bool bootstrap) {
+  store_.reset();
+  store_.emplace(Disk{*settings_.dataDirectory / "control", nullptr, nullptr}, log_);
+  replica_ =
+      std::make_unique<Replica>(self_, internal(settings_), bootstrap && !store_->wasSetAside(),
+                                store_->read(), Replica::Timing{}, now(), static_cast<ReplicaHost&>(*this));
+}
+
+// A disk that took no more bytes may take them again: the member starts anew from what it has kept, as after
+// a restart of the process. LevelDB writes nothing more through what has failed once.
+void ControlNode::recover() {
+  if (now() < recoverAt_) return;
+  recoverAt_ = now() + kRecoverEvery;
+  try {
+    begin(false);
+    log_("the disk is in use again");
+  } catch (const std::exception& why) {
+    log_(std::string("the disk is still out of use: ") + why.what());
+  }
+}
+
 void ControlNode::tick() {
+  if (replica_->hasFailed()) recover();
   if (!leaving_) replica_->tick(now());
   pump();
   tick_.expires_after(kTick);
@@ -115,7 +136,11 @@
   peer->call(toFrame(message), kHeardWithin, [](std::optional<Frame>) {});
 }
 
-bool ControlNode::store(const Durable& durable) { return store_.write(durable); }
+bool ControlNode::store(const Durable& durable) {
+  if (store_->write(durable)) return true;
+  recoverAt_ = now() + kRecoverEvery;
+  return false;
+}
 
 void ControlNode::committed(const State& state) {
   lead(state);
--- a/src/control/node.hpp
+++ b/src/control/node.hpp
@@ -54,6 +54,8 @@
   void log(const std::string& line) override { log_(line); }
 
   void tick();
+  void begin(bool bootstrap);
+  void recover();
   void called(Call&& call, const Respond& respond);
   void replace(Call&& call, const Respond& respond);
   void describe(const Respond& respond);
@@ -71,7 +73,8 @@
   NodeSettings settings_;
   const Log log_;
   const NodeId self_;
-  Store store_;
+  std::optional<Store> store_;
+  Millis recoverAt_ = 0;
   std::map<NodeId, std::unique_ptr<FrameClient>> peers_;
   std::unique_ptr<Replica> replica_;
   std::unique_ptr<ChangeLog> changes_;    // while primary
--- a/src/control/replica.hpp
+++ b/src/control/replica.hpp
@@ -126,6 +126,8 @@
   const std::vector<NodeId>& members() const { return durable_.record.members; }
   const Durable& durable() const { return durable_; }
   bool isPrimary() const { return primary_; }
+  // Its state could not be stored: it is silent from then on, and must be started anew from what is on disk.
+  bool hasFailed() const { return failed_; }
 
  private:
   struct Peer {
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -1,9 +1,11 @@
 #include "store/store.hpp"
 
+#include <fcntl.h>
 #include <leveldb/db.h>
+#include <leveldb/env.h>
 #include <leveldb/write_batch.h>
+#include <unistd.h>
 
-#include <chrono>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
@@ -67,64 +69,93 @@
 
 }  // namespace
 
-Store::Store(const std::filesystem::path& folder, Log log) : log_(std::move(log)) {
+bool syncFolder(const std::filesystem::path& folder) {
+  const int fd = ::open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+  if (fd < 0) return false;
+  const bool synced = ::fsync(fd) == 0;
+  ::close(fd);
+  return synced;
+}
+
+Store::Store(Disk disk, Log log) : disk_(std::move(disk)), log_(std::move(log)) {
+  bool good = false;
   try {
-    open(folder);
-    if (const auto kept = read()) writtenSequence_ = kept->state.sequence, written_ = true;
-  } catch (const std::exception& why) {
-    log_(std::string("the store is damaged (") + why.what() + "): set aside");
-    db_.reset();
-    std::error_code ignored;
-    const auto stamp = std::chrono::system_clock::now().time_since_epoch().count();
-    std::filesystem::rename(folder, folder.string() + ".damaged-" + std::to_string(stamp), ignored);
-    open(folder);
+    good = open();
+    if (good)
+      if (const auto kept = read()) writtenBody_ = kept->state.body;
+  } catch (const json::exception& why) {
+    log_(std::string("what the store holds cannot be read: ") + why.what());
+    good = false;
   }
+  if (!good) setAside();
+  // LevelDB renames a new CURRENT into place at each start and never syncs the folder for it: without this a
+  // loss of power may bring back the old name, or none, while the files that it told of are gone.
+  const auto& sync = disk_.syncFolder ? disk_.syncFolder : syncFolder;
+  if (!sync(disk_.folder) || !sync(disk_.folder.parent_path()))
+    throw std::runtime_error("cannot sync " + disk_.folder.string());
 }
 
 Store::~Store() = default;
 
-void Store::open(const std::filesystem::path& folder) {
+bool Store::open() {
   std::error_code ignored;
-  std::filesystem::create_directories(folder, ignored);
+  std::filesystem::create_directories(disk_.folder, ignored);
+  leveldb::Options how = options();
+  if (disk_.env) how.env = disk_.env;
   leveldb::DB* db = nullptr;
-  leveldb::Status status = leveldb::DB::Open(options(), folder.string(), &db);
-  if (!status.ok()) {
-    log_("the store does not open (" + status.ToString() + "): repaired");
-    if (leveldb::RepairDB(folder.string(), options()).ok())
-      status = leveldb::DB::Open(options(), folder.string(), &db);
+  leveldb::Status status = leveldb::DB::Open(how, disk_.folder.string(), &db);
+  if (status.IsCorruption()) {
+    log_("the store is damaged (" + status.ToString() + "): repaired");
+    if (leveldb::RepairDB(disk_.folder.string(), how).ok())
+      status = leveldb::DB::Open(how, disk_.folder.string(), &db);
+    if (status.IsCorruption()) return false;
   }
   if (!status.ok()) throw std::runtime_error("cannot keep anything in dataDirectory: " + status.ToString());
   db_.reset(db);
+  return true;
+}
+
+void Store::setAside() {
+  db_.reset();
+  const std::string aside = disk_.folder.string() + ".damaged";
+  log_("the store is set aside as " + aside + ": this node starts as one that lost its disk");
+  std::error_code ignored;
+  std::filesystem::remove_all(aside, ignored);  // one is enough to look at; the disk is small
+  std::filesystem::rename(disk_.folder, aside, ignored);
+  setAside_ = true;
+  if (!open()) throw std::runtime_error("cannot keep anything in dataDirectory: it stays damaged");
 }
 
 std::optional<Durable> Store::read() const {
   std::string meta, body;
   const leveldb::Status status = db_->Get({}, kMeta, &meta);
   if (status.IsNotFound()) return std::nullopt;
-  if (!status.ok()) throw std::runtime_error(status.ToString());
+  if (!status.ok()) throw std::runtime_error("cannot read what is kept: " + status.ToString());
   Durable out = fromMeta(json::parse(meta));
   if (out.state.revision > 0) {
     const leveldb::Status found = db_->Get({}, kBody, &body);
-    if (!found.ok()) throw std::runtime_error(found.ToString());
+    if (!found.ok()) throw std::runtime_error("cannot read what is kept: " + found.ToString());
     out.state.body = std::make_shared<const std::string>(std::move(body));
   }
   return out;
 }
 
 bool Store::write(const Durable& durable) {
+  if (failed_) return false;  // LevelDB's log may lack its alignment: what follows could not be read back
+  const auto& body = durable.state.body;
+  const bool newBody = body && body != writtenBody_ && (!writtenBody_ || *body != *writtenBody_);
   leveldb::WriteBatch batch;
   batch.Put(kMeta, metaOf(durable).dump());
-  if (durable.state.body && (!written_ || durable.state.sequence != writtenSequence_))
-    batch.Put(kBody, *durable.state.body);
+  if (newBody) batch.Put(kBody, *body);
   leveldb::WriteOptions sync;
   sync.sync = true;
   const leveldb::Status status = db_->Write(sync, &batch);
   if (!status.ok()) {
     log_("the state cannot be stored: " + status.ToString());
+    failed_ = true;
     return false;
   }
-  written_ = true;
-  writtenSequence_ = durable.state.sequence;
+  writtenBody_ = body;
   return true;
 }
 
--- a/src/store/store.hpp
+++ b/src/store/store.hpp
@@ -11,33 +11,48 @@
 
 namespace leveldb {
 class DB;
-}
+class Env;
+}  // namespace leveldb
 
 namespace lilacmux {
 
+// The disk's folder and how names in it are made to last: a test puts another in place of it.
+struct Disk {
+  std::filesystem::path folder;
+  leveldb::Env* env = nullptr;  // nothing: the machine's
+  std::function<bool(const std::filesystem::path&)> syncFolder;
+};
+// False: the folder cannot be synced.
+bool syncFolder(const std::filesystem::path& folder);
+
 class Store {
  public:
   using Log = std::function<void(const std::string&)>;
 
   // An empty folder makes a new store; a damaged one is repaired as far as its files tell, and where that
   // fails it is set aside and the node starts empty, as one that lost its disk. Throws std::runtime_error if
-  // nothing can be kept in the folder at all.
-  Store(const std::filesystem::path& folder, Log log);
+  // nothing can be kept in the folder now: it is full, say; what it holds stays as it is.
+  Store(Disk disk, Log log);
   ~Store();
   Store(const Store&) = delete;
   Store& operator=(const Store&) = delete;
 
   std::optional<Durable> read() const;  // nothing: empty
-  // Returns once a loss of power cannot take it; false: it could not be written.
+  // Returns once a loss of power cannot take it; false: it could not be written, and this object writes
+  // nothing more.
   bool write(const Durable& durable);
+  // What was here was damaged beyond repair: the node is one that lost its disk.
+  bool wasSetAside() const { return setAside_; }
 
  private:
-  void open(const std::filesystem::path& folder);
+  bool open();  // false: what is there is damaged
+  void setAside();
 
+  const Disk disk_;
   const Log log_;
   std::unique_ptr<leveldb::DB> db_;
-  std::uint64_t writtenSequence_ = 0;  // of the body that is on disk
-  bool written_ = false;
+  std::shared_ptr<const std::string> writtenBody_;
+  bool setAside_ = false, failed_ = false;
 };
 
 }  // namespace lilacmux
--- a/tests/system/parts_test.cpp
+++ b/tests/system/parts_test.cpp
@@ -6,7 +6,6 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
-#include <filesystem>
 #include <nlohmann/json.hpp>
 
 #include "cli/settings.hpp"
@@ -16,7 +15,6 @@
 #include "control/wire.hpp"
 #include "gateway/routes.hpp"
 #include "gateway/server_answers.hpp"
-#include "store/store.hpp"
 
 namespace lilacmux::test {
 namespace {
@@ -255,36 +253,5 @@
   EXPECT_EQ(read(404, {{"X-Server-Seal", "s"}}), Result::ok);
 }
 
-TEST(Store, GivesBackWhatWasWritten) {
-  const auto folder =
-      std::filesystem::temp_directory_path() / ("lilacmux-store-" + std::to_string(::getpid()));
-  std::filesystem::remove_all(folder);
-  Durable kept;
-  kept.promised = 4;
-  kept.promisedTo = "a";
-  kept.record = {3, 2, "a", "b", {"a", "b"}, {"b", "c"}};
-  kept.dataEpoch = 3;
-  kept.state = {9, 5, std::make_shared<const std::string>(std::string("\0\1", 2)), {{5, 77}}, {"g"}};
-  const auto silent = [](const std::string&) {};
-  {
-    Store store(folder, silent);
-    EXPECT_FALSE(store.read());
-    EXPECT_TRUE(store.write(kept));
-  }
-  {
-    Store store(folder, silent);
-    const auto read = store.read();
-    ASSERT_TRUE(read);
-    EXPECT_EQ(read->record.members, kept.record.members);
-    EXPECT_EQ(read->record.leaving, kept.record.leaving);
-    EXPECT_EQ(read->promised, 4u);
-    EXPECT_EQ(read->record.epoch, 3u);
-    EXPECT_EQ(*read->state.body, *kept.state.body);
-    EXPECT_EQ(read->state.fingerprint, kept.state.fingerprint);
-    EXPECT_EQ(read->state.holders, kept.state.holders);
-  }
-  std::filesystem::remove_all(folder);
-}
-
 }  // namespace
 }  // namespace lilacmux::test
--- /dev/null
+++ b/tests/system/store_test.cpp
@@ -0,0 +1,130 @@
+// What is on disk after a loss of power, a full disk and damage.
+#include "store/store.hpp"
+
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include "weak_disk.hpp"
+
+namespace lilacmux::test {
+namespace {
+
+class OnDisk : public testing::Test {
+ protected:
+  OnDisk() { std::filesystem::remove_all(folder_.parent_path()); }
+  ~OnDisk() override { std::filesystem::remove_all(folder_.parent_path()); }
+  Disk disk() { return {folder_, nullptr, nullptr}; }
+  Disk disk(WeakDisk& weak) {
+    return {folder_, &weak, [&weak](const std::filesystem::path&) { return weak.syncFolder(); }};
+  }
+  static Durable sample(std::uint64_t number, std::size_t bytes = 2) {
+    Durable out;
+    out.promised = number;
+    out.promisedTo = "a";
+    out.record = {number, number - 1, "a", "b", {"a", "b"}, {"b", "c"}};
+    out.dataEpoch = number;
+    std::string body(bytes, '\0');
+    body += std::to_string(number);
+    out.state = {number, number, std::make_shared<const std::string>(std::move(body)), {{number, 77}}, {"g"}};
+    return out;
+  }
+
+  const std::filesystem::path folder_ =
+      std::filesystem::temp_directory_path() / ("lilacmux-store-" + std::to_string(::getpid())) / "control";
+  std::vector<std::string> said;
+  const Store::Log log = [this](const std::string& line) { said.push_back(line); };
+};
+using StoreTest = OnDisk;
+
+TEST_F(StoreTest, GivesBackWhatWasWritten) {
+  const Durable kept = sample(4);
+  {
+    Store store(disk(), log);
+    EXPECT_FALSE(store.read());
+    EXPECT_TRUE(store.write(kept));
+  }
+  Store store(disk(), log);
+  const auto read = store.read();
+  ASSERT_TRUE(read);
+  EXPECT_EQ(read->record.members, kept.record.members);
+  EXPECT_EQ(read->record.leaving, kept.record.leaving);
+  EXPECT_EQ(read->promised, 4u);
+  EXPECT_EQ(read->record.epoch, 4u);
+  EXPECT_EQ(*read->state.body, *kept.state.body);
+  EXPECT_EQ(read->state.fingerprint, kept.state.fingerprint);
+  EXPECT_EQ(read->state.holders, kept.state.holders);
+  EXPECT_TRUE(said.empty());
+}
+
+// A change that was proposed and never held may carry the number that another primary's change has got.
+TEST_F(StoreTest, AnotherBodyUnderTheSameSequenceIsWritten) {
+  Durable kept = sample(4);
+  {
+    Store store(disk(), log);
+    EXPECT_TRUE(store.write(kept));
+    kept.state.body = std::make_shared<const std::string>("another");
+    EXPECT_TRUE(store.write(kept));
+  }
+  EXPECT_EQ(*Store(disk(), log).read()->state.body, "another");
+}
+
+TEST_F(StoreTest, ALossOfPowerTakesNothingThatWasWritten) {
+  for (std::uint64_t seed = 0; seed < 60; ++seed) {
+    std::filesystem::remove_all(folder_.parent_path());
+    WeakDisk weak(seed);
+    std::mt19937_64 random(seed);
+    std::uint64_t number = 0;
+    for (int life = 0; life < 5; ++life) {
+      {
+        Store store(disk(weak), log);
+        const auto read = store.read();
+        ASSERT_EQ(read ? read->promised : 0, number) << "seed " << seed << " life " << life;
+        if (read) {
+          ASSERT_EQ(*read->state.body, *sample(number, 20000).state.body);
+        }
+        ASSERT_FALSE(store.wasSetAside());
+        for (auto writes = random() % 20; writes > 0; --writes)
+          ASSERT_TRUE(store.write(sample(++number, 20000)));
+      }
+      weak.losePower();
+    }
+  }
+}
+
+TEST_F(StoreTest, AFullDiskIsToldAndLosesNothingAndIsUsedAgain) {
+  WeakDisk weak(1);
+  {
+    Store store(disk(weak), log);
+    EXPECT_TRUE(store.write(sample(1)));
+    weak.full = true;
+    EXPECT_FALSE(store.write(sample(2)));
+    weak.full = false;
+    EXPECT_FALSE(store.write(sample(2))) << "nothing more through what has failed";
+  }
+  weak.full = true;
+  EXPECT_THROW(Store(disk(weak), log), std::runtime_error);
+  weak.full = false;
+  Store store(disk(weak), log);
+  EXPECT_FALSE(store.wasSetAside());
+  ASSERT_TRUE(store.read());
+  EXPECT_GE(store.read()->promised, 1u);
+  EXPECT_TRUE(store.write(sample(3)));
+}
+
+TEST_F(StoreTest, WhatIsDamagedBeyondRepairIsSetAsideAndSaid) {
+  {
+    Store store(disk(), log);
+    EXPECT_TRUE(store.write(sample(1)));
+  }
+  for (const auto& entry : std::filesystem::directory_iterator(folder_)) {
+    if (entry.path().filename() == "LOCK") continue;
+    std::ofstream(entry.path(), std::ios::binary | std::ios::trunc) << std::string(200, 'x');
+  }
+  Store store(disk(), log);
+  EXPECT_FALSE(store.read());
+  EXPECT_FALSE(said.empty());
+  EXPECT_TRUE(store.write(sample(2)));
+}
+
+}  // namespace
+}  // namespace lilacmux::test
