Hold one budget of further tries a service over all gatekeepers

Cause: what a request was repeated by was bounded at each gatekeeper alone, by the decision module; nothing held the sum over the fleet against the operators' ratio and slack (BUDGET).

A second arrival is paid for; a try that did not arrive gives it back; the first arrival costs nothing. Where a gatekeeper's part is used up it asks for more and looks again for 36 ms, then the request gets its answer. A gatekeeper tells of a crowd at once, not after 200 ms.

--- a/src/cli/settings.cpp
+++ b/src/cli/settings.cpp
@@ -94,6 +94,8 @@
   number(bounds, "quotaWindowS", out.quotaWindowS);
   number(bounds, "quotaOverage", out.quotaOverage);
   number(bounds, "quotaSlack", out.quotaSlack);
+  number(bounds, "retryBudgetRatio", out.retryBudgetRatio);
+  number(bounds, "retryBudgetSlack", out.retryBudgetSlack);
   if (out.quotaWindowS <= 0) wrong("quotaWindowS", "is 0");
   if (out.revocationGlobal && out.revocationMs < 1000) wrong("revocationMs", "is under a second");
 }
--- a/src/cli/settings.hpp
+++ b/src/cli/settings.hpp
@@ -27,6 +27,8 @@
   double quotaWindowS = 5;
   double quotaOverage = 0;
   double quotaSlack = 0;
+  double retryBudgetRatio = 0;  // of a service's requests; with no slack either: no budget
+  double retryBudgetSlack = 0;
 };
 
 struct NodeSettings {
--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -157,6 +157,8 @@
     changes_ = std::make_unique<ChangeLog>(replica_->epoch());
     const ShareLedger::Timing timing;
     shares_ = std::make_unique<ShareLedger>(timing, now(), state.holders);
+    const RetryRule rule{settings_.bounds.retryBudgetRatio, settings_.bounds.retryBudgetSlack};
+    if (rule.limits()) retries_ = std::make_unique<RetryLedger>(rule, now(), state.holders);
     watchPlatform();
   }
   changes_->configuration(state.revision, state.body);
@@ -186,6 +188,7 @@
 void ControlNode::lostPrimacy() {
   changes_.reset();
   shares_.reset();
+  retries_.reset();
   joining_.clear();
   // Its own handler may be what is running.
   boost::asio::post(io_, [watch = std::shared_ptr<PlatformWatch>(std::move(watch_))] {});
@@ -307,6 +310,7 @@
     return out;
   }
   out.grants = shares_->turn(now(), call.name, call.demands, out.grant);
+  if (retries_) out.retries = retries_->turn(now(), call.name, call.requests, call.retries, out.retryGrant);
   out.gatekeepers = shares_->gatekeepers(now());
   return out;
 }
--- a/src/control/node.hpp
+++ b/src/control/node.hpp
@@ -79,6 +79,7 @@
   std::unique_ptr<Replica> replica_;
   std::unique_ptr<ChangeLog> changes_;    // while primary
   std::unique_ptr<ShareLedger> shares_;   // while primary
+  std::unique_ptr<RetryLedger> retries_;  // while primary, where there is a budget
   std::unique_ptr<PlatformWatch> watch_;  // while primary
   std::deque<Change> waiting_;
   std::optional<Change> current_;  // proposed
--- a/src/control/shares.cpp
+++ b/src/control/shares.cpp
@@ -9,9 +9,8 @@
 constexpr double kDoubt = 0.04;  // of the rate, over the gatekeepers: what each is held to ask for at least
 constexpr double kStockS = 0.5;  // seconds of its demand that a gatekeeper's stock covers
 constexpr double kStockRoots = 1.5;  // and so many roots of its demand, for chance
-constexpr double kLeastStock = 2;
-constexpr double kInStocks = 0.7;  // of the burst at most; the rest goes at once to whoever runs low
-constexpr double kTakeBack = 0.5;  // tokens over what is wanted that stay where they are
+constexpr double kInStocks = 0.7;    // of the burst at most; the rest goes at once to whoever runs low
+constexpr double kTakeBack = 0.5;    // tokens over what is wanted that stay where they are
 constexpr double kRateBeyond =
     0.2;  // of the room beyond the limit that goes to the rate, the rest to the burst
 
@@ -109,8 +108,8 @@
 // Up to what its demand needs for a while; where all together want more than there may be out, up to its part
 // of that; and of a bucket that is nearly empty no more than its part of the demand.
 double ShareLedger::tokensFor(const Ledger& ledger, const Holding& mine) const {
-  const auto want = [](const Holding& h) {
-    return kLeastStock + kStockS * h.perS + kStockRoots * std::sqrt(h.perS);
+  const auto want = [&](const Holding& h) {
+    return timing_.leastStock + kStockS * h.perS + kStockRoots * std::sqrt(h.perS);
   };
   double wants = 0, demand = 0;
   for (const auto& [name, holding] : ledger.holdings) {
--- a/src/control/shares.hpp
+++ b/src/control/shares.hpp
@@ -38,6 +38,7 @@
     Millis lease = 4000;         // a gatekeeper's stock and rate end so long after it last asked
     Millis aloneAfter = 600;     // after it last asked, one that has heard nothing goes by its lent rate
     Millis reservedAfter = 450;  // and the ledger counts on that from here on
+    double leastStock = 2;       // tokens that an idle gatekeeper is to hold
   };
 
   // What a gatekeeper says of one tenant.
--- a/src/control/wire.cpp
+++ b/src/control/wire.cpp
@@ -50,6 +50,33 @@
   return out;
 }
 
+json demandsOf(const std::vector<ShareLedger::Demand>& demands) {
+  json out = json::array();
+  for (const auto& d : demands) out.push_back({d.tenant, d.perS, d.stock, d.rate, d.grant});
+  return out;
+}
+
+std::vector<ShareLedger::Demand> demandsFrom(const json& in) {
+  std::vector<ShareLedger::Demand> out;
+  for (const json& d : in)
+    out.push_back({d.at(0).get<std::string>(), d.at(1).get<double>(), d.at(2).get<double>(),
+                   d.at(3).get<double>(), d.at(4).get<std::uint64_t>()});
+  return out;
+}
+
+json grantsOf(const std::vector<ShareLedger::Grant>& grants) {
+  json out = json::array();
+  for (const auto& g : grants) out.push_back({g.tenant, g.tokens, g.rate});
+  return out;
+}
+
+std::vector<ShareLedger::Grant> grantsFrom(const json& in) {
+  std::vector<ShareLedger::Grant> out;
+  for (const json& g : in)
+    out.push_back({g.at(0).get<std::string>(), g.at(1).get<double>(), g.at(2).get<double>()});
+  return out;
+}
+
 // What is read within is wrong as a whole if any of it is.
 template <class T, class Read>
 std::optional<T> whole(Read read) {
@@ -98,10 +125,12 @@
 
 Frame toFrame(const FollowCall& call) {
   Frame out;
-  json demands = json::array();
-  for (const auto& d : call.demands) demands.push_back({d.tenant, d.perS, d.stock, d.rate, d.grant});
   out.head = {{kKind, "follow"},     {"name", call.name},         {"epoch", call.epoch},
-              {"place", call.place}, {"revision", call.revision}, {"demands", demands}};
+              {"place", call.place}, {"revision", call.revision}, {"demands", demandsOf(call.demands)}};
+  if (!call.requests.empty()) {
+    out.head["requests"] = call.requests;
+    out.head["retries"] = demandsOf(call.retries);
+  }
   return out;
 }
 
@@ -114,9 +143,11 @@
     in.at("epoch").get_to(out.epoch);
     in.at("place").get_to(out.place);
     in.at("revision").get_to(out.revision);
-    for (const json& d : in.at("demands"))
-      out.demands.push_back({d.at(0).get<std::string>(), d.at(1).get<double>(), d.at(2).get<double>(),
-                             d.at(3).get<double>(), d.at(4).get<std::uint64_t>()});
+    out.demands = demandsFrom(in.at("demands"));
+    if (in.contains("requests")) {
+      in.at("requests").get_to(out.requests);
+      out.retries = demandsFrom(in.at("retries"));
+    }
     return out;
   });
 }
@@ -135,9 +166,11 @@
     out.head["set"] = a.news.set;
     out.head["gone"] = a.news.gone;
   }
-  json grants = json::array();
-  for (const auto& g : a.grants) grants.push_back({g.tenant, g.tokens, g.rate});
-  if (!grants.empty()) out.head["grants"] = std::move(grants);
+  if (!a.grants.empty()) out.head["grants"] = grantsOf(a.grants);
+  if (!a.retries.empty()) {
+    out.head["retries"] = grantsOf(a.retries);
+    out.head["retryGrant"] = a.retryGrant;
+  }
   if (a.news.configuration) {
     out.head["configuration"] = true;
     out.body = *a.news.configuration;
@@ -167,9 +200,11 @@
       in.at("set").get_to(out.news.set);
       in.at("gone").get_to(out.news.gone);
     }
-    if (in.contains("grants"))
-      for (const json& g : in.at("grants"))
-        out.grants.push_back({g.at(0).get<std::string>(), g.at(1).get<double>(), g.at(2).get<double>()});
+    if (in.contains("grants")) out.grants = grantsFrom(in.at("grants"));
+    if (in.contains("retries")) {
+      out.retries = grantsFrom(in.at("retries"));
+      in.at("retryGrant").get_to(out.retryGrant);
+    }
     if (in.contains("configuration"))
       out.news.configuration = std::make_shared<const std::string>(std::move(frame.body));
     return out;
--- a/src/control/wire.hpp
+++ b/src/control/wire.hpp
@@ -7,6 +7,7 @@
 
 #include "control/change_log.hpp"
 #include "control/replica.hpp"
+#include "control/retry_ledger.hpp"
 #include "control/shares.hpp"
 #include "net/frames.hpp"
 
@@ -21,6 +22,8 @@
   std::string name;
   std::uint64_t epoch = 0, place = 0, revision = 0;
   std::vector<ShareLedger::Demand> demands;
+  RetryLedger::Rates requests;               // a second, by service
+  std::vector<ShareLedger::Demand> retries;  // of the budgets of further tries
 };
 struct FollowAnswer {
   std::string leader;  // not empty: ask there
@@ -29,6 +32,8 @@
   std::size_t gatekeepers = 0;
   std::uint64_t grant = 0;
   std::vector<ShareLedger::Grant> grants;
+  std::uint64_t retryGrant = 0;
+  std::vector<ShareLedger::Grant> retries;
   std::vector<NodeId> core;  // its members, as the one that answers knows them
 };
 
--- a/src/gateway/admission.cpp
+++ b/src/gateway/admission.cpp
@@ -114,13 +114,16 @@
   for (Bucket& b : table_) {
     if (!limited_.contains(b.tenant)) continue;
     fill(b, now);
-    const Millis span = now - b.askedFrom;
-    if (span >= kDemandSpan) {
-      b.perS += (1000 * b.asked / span - b.perS) * (1 - std::exp(-span / kDemandTau));
+    // A look before its time tells what that span's end would tell at least, so that a crowd is seen at once.
+    const Millis span = std::max(now - b.askedFrom, kDemandSpan);
+    const double perS = b.perS + (1000 * b.asked / span - b.perS) * (1 - std::exp(-span / kDemandTau));
+    double told = std::max(b.perS, perS);
+    if (now - b.askedFrom >= kDemandSpan) {
+      told = b.perS = perS;
       b.asked = 0;
       b.askedFrom = now;
     }
-    out.push_back({b.tenant, b.perS, b.tokens, b.rate, b.grant});
+    out.push_back({b.tenant, told, b.tokens, b.rate, b.grant});
   }
   return out;
 }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/post.hpp>
 #include <chrono>
 #include <cmath>
+#include <set>
 
 #include "net/steady.hpp"
 
@@ -31,6 +32,8 @@
 constexpr unsigned kOwnMegabytes = 40;
 constexpr std::size_t kGuessedFleet = 8;   // gatekeepers, until the control plane has told
 constexpr auto kAcceptAfterTerm = 2800ms;  // the platform notices within two misses, a second each
+constexpr auto kBudgetLook = 12ms;         // until a further try looks again for room in the budget
+constexpr unsigned kBudgetLooks = 3;       // the control plane has answered by then
 constexpr double kGraceKept = 900;         // ms of the grace period, for the last answers' way
 
 std::chrono::steady_clock::duration span(double ms) {
@@ -59,6 +62,17 @@
   return out;
 }
 
+bool limitsRetries(const NodeSettings& s) {
+  return RetryRule{s.bounds.retryBudgetRatio, s.bounds.retryBudgetSlack}.limits();
+}
+
+std::vector<std::string> servicesOf(const Configuration& configuration) {
+  std::set<std::string> out;
+  for (const Route& route : configuration.routes)
+    for (const Target& target : route.targets) out.insert(target.service);
+  return {out.begin(), out.end()};
+}
+
 std::size_t budgetOf(const NodeSettings& s) {
   return std::size_t{std::max(8u, s.memoryMb - std::min(s.memoryMb, kOwnMegabytes))} * (1 << 20) / 3;
 }
@@ -175,6 +189,10 @@
   out.place = place_;
   out.revision = table_ ? table_->revision() : 0;
   out.demands = admission_.demands(now());
+  if (limitsRetries(settings_)) {
+    out.requests = requests_.perSecond(now());
+    out.retries = retries_.demands(now());
+  }
   return out;
 }
 
@@ -185,6 +203,8 @@
   epoch_ = answer.epoch;
   place_ = answer.news.place;
   for (const ShareLedger::Grant& grant : answer.grants) admission_.take(now(), grant, sentAt, answer.grant);
+  for (const ShareLedger::Grant& grant : answer.retries)
+    retries_.take(now(), grant, sentAt, answer.retryGrant);
   // Older than what is held here: that primary is behind, and its word renews nothing.
   if (table_ && table_->revision() <= answer.news.revision)
     leaseUntil_ = std::max(leaseUntil_, sentAt + settings_.bounds.revocationMs - kRevocationKept);
@@ -200,6 +220,7 @@
   for (const Tenant& tenant : configuration.tenants)
     if (tenant.ratePerS > 0) limited.push_back(tenant.name);
   admission_.limited(limited);
+  if (limitsRetries(settings_)) retries_.limited(servicesOf(configuration));
   server_.limits(clientLimits(settings_, configuration.limits));
   table_ = std::make_shared<const RouteTable>(std::move(configuration));
   log_("configuration " + std::to_string(table_->revision()) + " is in force");
@@ -311,7 +332,9 @@
   held.route = route;
   if (tenant) held.tenant = tenant->name;
   held.kind = kinds_.of(*route);
-  held.lane = laneOf(RouteTable::pickService(*route, chance()), held.kind);
+  held.service = &RouteTable::pickService(*route, chance());
+  held.lane = laneOf(*held.service, held.kind);
+  requests_.count(*held.service);
   held.message = std::move(message);
   held.asker = asker;
   held.expires = at + std::max(0.0, call.patience - kWayBack);
@@ -381,7 +404,9 @@
   if (found != held_.end()) {
     Held& held = found->second;
     held.mayHaveRun = held.mayHaveRun || ranOf(outcome.result);
-    if (outcome.result != Result::connectFailed && outcome.result != Result::moot) ++held.sent;
+    const bool arrived = outcome.result != Result::connectFailed && outcome.result != Result::moot;
+    if (arrived) ++held.sent;
+    settle(held, arrived);
     if (held.streams) {
       outcome.finished = true;
       endStream(id, outcome.result == Result::ok);
@@ -399,10 +424,47 @@
       outcome.finished = true;
       giveUp(id, kRetryAfter);
     }
+    if (!outcome.finished && held_.contains(id) && !pays(held)) return awaitBudget(outcome, lane, 1);
   }
   lane->module().outcome(now(), outcome);
 }
 
+// Whether a further try may go out, as far as the budget is concerned. One that follows tries of which none
+// has arrived is the first, and so is none at all where the module must not repeat.
+bool Gateway::pays(Held& held) {
+  if (held.sent == 0 || held.further == Held::Further::paid) return true;
+  if (held.mayHaveRun && held.route->type == RouteType::nonIdempotent) return true;
+  const bool paid = !retries_.ask(now(), *held.service, 0);
+  if (retries_.isLow()) follower_->hurry();
+  if (paid) held.further = Held::Further::paid;
+  return paid;
+}
+
+// A further try that has not arrived gives back what it was paid.
+void Gateway::settle(Held& held, bool arrived) {
+  if (held.further == Held::Further::out) retries_.ended(now(), *held.service, arrived);
+  if (held.further == Held::Further::out) held.further = Held::Further::none;
+}
+
+// This gatekeeper's part of the budget is used up, and it has asked for more: the answer is some ms away. If
+// there is none the request is given up.
+void Gateway::awaitBudget(Outcome outcome, std::shared_ptr<Lane> lane, unsigned looks) {
+  auto timer = std::make_unique<boost::asio::steady_timer>(io_, kBudgetLook);
+  auto& pending = *timer;
+  pending.async_wait([this, timer = std::move(timer), outcome, lane = std::move(lane),
+                      looks](const burlwind::Error& error) mutable {
+    if (error) return;
+    const auto found = held_.find(outcome.id);
+    if (found != held_.end() && !pays(found->second)) {
+      if (looks < kBudgetLooks) return awaitBudget(outcome, std::move(lane), looks + 1);
+      outcome.finished = true;
+      giveUp(outcome.id, kRetryAfter);
+    }
+    outcome.finished = outcome.finished || found == held_.end();
+    lane->module().outcome(now(), outcome);
+  });
+}
+
 bool Gateway::begun(RequestId id, const burlwind::AnswerHead& head) {
   const auto found = held_.find(id);
   if (found == held_.end()) return false;
@@ -456,6 +518,7 @@
   const Time left = held.expires - now();
   out_[id] = lane.shared_from_this();
   if (left <= 0) return reportMoot(id, held.attempts++, server);
+  if (held.further == Held::Further::paid) held.further = Held::Further::out;
   const bool early = timeout > 0 && timeout < left;
   if (!held.body) prepare(held);
   burlwind::Message message{held.head, held.body, static_cast<unsigned>(held.route->type)};
@@ -517,6 +580,8 @@
 }
 
 void Gateway::release(HeldMap::iterator held, bool ran) {
+  if (held->second.further == Held::Further::paid) retries_.ended(now(), *held->second.service, false);
+  settle(held->second, true);
   if (!held->second.tenant.empty()) admission_.ended(now(), held->second.tenant, ran);
   held_.erase(held);
 }
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -15,6 +15,7 @@
 #include "gateway/admission.hpp"
 #include "gateway/follower.hpp"
 #include "gateway/lane.hpp"
+#include "gateway/rate_meter.hpp"
 #include "gateway/routes.hpp"
 #include "gateway/server_answers.hpp"
 #include "net/call_server.hpp"
@@ -44,7 +45,8 @@
     explicit Held(boost::asio::io_context& io) : deadline(io) {}
     std::shared_ptr<const RouteTable> table;  // keeps the route
     const Route* route = nullptr;
-    std::string tenant;  // empty: none
+    std::string tenant;                    // empty: none
+    const std::string* service = nullptr;  // in the route
     std::shared_ptr<Lane> lane;
     unsigned kind = 0;
     burlwind::ClientMessage message;  // until the first attempt, which makes the next two of it
@@ -56,7 +58,8 @@
     unsigned attempts = 0;
     unsigned sent = 0;  // of them, those that a server has got
     bool mayHaveRun = false;
-    bool streams = false;                        // the client has an answer's begin
+    enum class Further { none, paid, out } further = Further::none;  // a further try, of the budget
+    bool streams = false;                                            // the client has an answer's begin
     std::optional<burlwind::Answer> lastAnswer;  // a server's own failure, told if nothing better comes
   };
   using HeldMap = std::unordered_map<RequestId, Held>;
@@ -88,6 +91,9 @@
   void tellLane(const std::string& service);
 
   void ended(burlwind::AttemptEnd&& end);
+  bool pays(Held& held);
+  void settle(Held& held, bool arrived);
+  void awaitBudget(irisring::Outcome outcome, std::shared_ptr<Lane> lane, unsigned looks);
   void reportMoot(RequestId id, unsigned attempt, irisring::WorkerId server);
   void expire(RequestId id);
   void giveUpAll();
@@ -117,6 +123,8 @@
   std::unordered_map<RequestId, std::shared_ptr<Lane>> out_;  // attempts under way
   HeldMap held_;
   Admission admission_;
+  Admission retries_;  // the budgets of further tries, by service
+  RateMeter requests_;
   RequestId lastId_ = 0;
   std::uint64_t epoch_ = 0, place_ = 0;
   std::size_t fleet_ = 0;  // gatekeepers, as last told
