Check the core's agreement as a model; an emptied backup cannot say that nothing was kept

Cause: found by the model (tests/model/core.pml) and by no storm. A backup that lost its disk takes the record again and then votes as one that was never given the state, so a witness could win with nothing. And a candidate that stood still could count a vote whose giver has lost its disk since and promised the round to another.

The test disk locks: LevelDB compacts in a thread of its own, and the sanitizers' run of the store's tests failed on that.

Not found by the model in the time given: votes counted by the old members alone, and a change of members in one step; the storms find the second.

--- a/src/control/replica.cpp
+++ b/src/control/replica.cpp
@@ -66,6 +66,7 @@
   out.epoch = durable_.record.epoch;
   out.record = durable_.record;
   out.dataEpoch = durable_.dataEpoch;
+  out.forgotten = durable_.forgotten;
   out.sequence = durable_.state.sequence;
   return out;
 }
@@ -193,6 +194,7 @@
     durable_.promised = message.epoch;
     durable_.promisedTo = message.from;
     durable_.record = message.record;
+    if (empty_) durable_.forgotten = message.epoch;
     if (!keep()) return;
     empty_ = false;
   }
@@ -215,7 +217,10 @@
   peer.ackedSentAt = std::max(peer.ackedSentAt, message.sentAt);
   peer.heardAt = now;
   peer.tookEpoch = std::max(peer.tookEpoch, message.epoch);
-  if (message.epoch == durable_.record.epoch && !settled_ && syncAt_ < ledSince_) sendSync(now);
+  if (message.epoch != durable_.record.epoch) return;
+  const bool lost = message.from == durable_.record.backup && message.dataEpoch < durable_.record.epoch &&
+                    now - syncAt_ >= timing_.resync;  // its disk, say
+  if ((!settled_ && syncAt_ < ledSince_) || lost) sendSync(now);
 }
 
 void Replica::onProbe(Millis now, const Message& message) {
@@ -228,7 +233,7 @@
 
 void Replica::onWouldVote(Millis now, const Message& message) {
   seen_ = std::max(seen_, message.epoch);
-  if (!ballot_ || ballot_->asked || !message.yes) return;
+  if (!ballotIsOpen(now, false) || !message.yes) return;
   ballot_->votes[message.from] = message;
   if (wins(ballot_->votes)) stand(now);
 }
@@ -250,9 +255,15 @@
   host_.send(message.from, answer);
 }
 
+// After a standstill votes may come up that are long over: who gave one may have lost its disk since, and
+// have promised the same round to another.
+bool Replica::ballotIsOpen(Millis now, bool asked) const {
+  return ballot_ && ballot_->asked == asked && now - ballot_->since < kBallotFor;
+}
+
 void Replica::onVote(Millis now, const Message& message) {
   if (!message.yes) seen_ = std::max(seen_, message.epoch);
-  if (!ballot_ || !ballot_->asked || !message.yes || message.epoch != ballot_->epoch) return;
+  if (!ballotIsOpen(now, true) || !message.yes || message.epoch != ballot_->epoch) return;
   ballot_->votes[message.from] = message;
   if (!wins(ballot_->votes)) return;
   const Ballot won = std::move(*ballot_);
@@ -288,12 +299,17 @@
 
 // Whether this node has all that was ever committed. A primary of the newest record that any majority knows
 // of has, and so has its backup once it was given the state in that epoch. Where that backup votes and says
-// that it never was, nothing was committed in that epoch, and the one before it counts.
+// that it never was, nothing was committed in that epoch, and the one before it counts; a backup that has
+// lost its disk since cannot say so.
 bool Replica::eligible(const std::map<NodeId, Message>& votes, const Record& newest) const {
   if (newest.epoch == 0 || durable_.dataEpoch == newest.epoch) return true;
+  const auto never = [&](std::uint64_t dataEpoch, std::uint64_t forgotten) {
+    return dataEpoch < newest.epoch && forgotten < newest.epoch;
+  };
   const auto backup = votes.find(newest.backup);
-  const bool unused = backup != votes.end() ? backup->second.dataEpoch < newest.epoch
-                                            : newest.backup == self_ && durable_.dataEpoch < newest.epoch;
+  const bool unused = backup != votes.end()
+                          ? never(backup->second.dataEpoch, backup->second.forgotten)
+                          : newest.backup == self_ && never(durable_.dataEpoch, durable_.forgotten);
   return unused && durable_.dataEpoch >= newest.previous;
 }
 
--- a/src/control/replica.hpp
+++ b/src/control/replica.hpp
@@ -62,6 +62,8 @@
   NodeId promisedTo;
   Record record;
   std::uint64_t dataEpoch = 0;  // the epoch for which `state` is complete
+  // A disk was lost here: what was kept under records up to this epoch is not known any more.
+  std::uint64_t forgotten = 0;
   State state;
 };
 
@@ -72,7 +74,7 @@
   std::uint64_t epoch = 0;
   bool yes = false;
   Record record;
-  std::uint64_t dataEpoch = 0;
+  std::uint64_t dataEpoch = 0, forgotten = 0;
   std::uint64_t sequence = 0;
   Millis sentAt = 0;           // beat: the sender's clock, given back by its ack
   std::optional<State> state;  // sync
@@ -159,6 +161,7 @@
   void onProbe(Millis now, const Message& message);
   void onWouldVote(Millis now, const Message& message);
   void onAsk(Millis now, const Message& message);
+  bool ballotIsOpen(Millis now, bool asked) const;
   void onVote(Millis now, const Message& message);
   void onSync(Millis now, const Message& message);
   void onSynced(Millis now, const Message& message);
--- a/src/control/wire.cpp
+++ b/src/control/wire.cpp
@@ -97,6 +97,7 @@
               {"yes", m.yes},
               {"record", recordOf(m.record)},
               {"data", m.dataEpoch},
+              {"forgotten", m.forgotten},
               {"seq", m.sequence},
               {"at", m.sentAt}};
   if (m.state) addState(*m.state, out);
@@ -116,6 +117,7 @@
     in.at("yes").get_to(out.yes);
     out.record = recordFrom(in.at("record"));
     in.at("data").get_to(out.dataEpoch);
+    in.at("forgotten").get_to(out.forgotten);
     in.at("seq").get_to(out.sequence);
     in.at("at").get_to(out.sentAt);
     if (in.contains("state")) out.state = stateFrom(in.at("state"), std::move(frame.body));
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -42,6 +42,7 @@
           {"primary", d.record.primary},
           {"backup", d.record.backup},
           {"dataEpoch", d.dataEpoch},
+          {"forgotten", d.forgotten},
           {"sequence", d.state.sequence},
           {"revision", d.state.revision},
           {"taken", prints},
@@ -59,6 +60,7 @@
   in.at("primary").get_to(out.record.primary);
   in.at("backup").get_to(out.record.backup);
   in.at("dataEpoch").get_to(out.dataEpoch);
+  out.forgotten = in.value("forgotten", std::uint64_t{0});
   in.at("sequence").get_to(out.state.sequence);
   in.at("revision").get_to(out.state.revision);
   in.at("holders").get_to(out.state.holders);
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -1,11 +1,11 @@
 #!/usr/bin/env bash
-# The project's test command: format, warnings as errors, the tests plain and with ASan+UBSan, the package.
+# The project's test command: format, warnings as errors, the tests plain and with ASan+UBSan, the model, the package.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
 need=()
-for tool in cmake g++ clang-format make; do
-  command -v "$tool" >/dev/null || need+=("${tool/clang-format/clang-format}")
+for tool in cmake g++ clang-format make spin; do
+  command -v "$tool" >/dev/null || need+=("$tool")
 done
 [ -e /usr/include/gtest/gtest.h ] || need+=(libgtest-dev)
 [ -e /usr/include/boost/beast/http.hpp ] || need+=(libboost-dev)
@@ -31,6 +31,9 @@
   ctest --test-dir "build-test/$kind" --output-on-failure -j"$(nproc)"
 done
 
+# The model of the core's agreement, and that what its mutants break is found.
+bash tests/model/check.sh
+
 # The installed package, found and linked by a program outside the tree.
 cmake --install build-test/plain --prefix "$PWD/build-test/prefix" >/dev/null
 cmake -S tests/package -B build-test/package -DCMAKE_PREFIX_PATH="$PWD/build-test/prefix" >/dev/null
--- a/tests/system/weak_disk.hpp
+++ b/tests/system/weak_disk.hpp
@@ -5,10 +5,12 @@
 
 #include <leveldb/env.h>
 
+#include <atomic>
 #include <filesystem>
 #include <fstream>
 #include <iterator>
 #include <map>
+#include <mutex>
 #include <random>
 #include <string>
 #include <vector>
@@ -19,9 +21,10 @@
  public:
   explicit WeakDisk(std::uint64_t seed) : EnvWrapper(leveldb::Env::Default()), random_(seed) {}
 
-  bool full = false;  // takes no more bytes
+  std::atomic<bool> full = false;  // takes no more bytes
 
   bool syncFolder() {
+    const std::lock_guard lock(mutex_);
     names_.clear();
     return !full;
   }
@@ -56,18 +59,21 @@
   }
 
   leveldb::Status NewWritableFile(const std::string& file, leveldb::WritableFile** out) override {
+    const std::lock_guard lock(mutex_);
     if (full) return leveldb::Status::IOError(file, "No space left on device");
     const auto made = target()->NewWritableFile(file, out);
     if (made.ok()) *out = new File(*this, file, *out), synced_[file] = {};
     return made;
   }
   leveldb::Status NewAppendableFile(const std::string& file, leveldb::WritableFile** out) override {
+    const std::lock_guard lock(mutex_);
     const std::size_t had = std::filesystem::exists(file) ? std::filesystem::file_size(file) : 0;
     const auto made = target()->NewAppendableFile(file, out);
     if (made.ok()) *out = new File(*this, file, *out), synced_.try_emplace(file, Synced{had, had > 0});
     return made;
   }
   leveldb::Status RenameFile(const std::string& from, const std::string& to) override {
+    const std::lock_guard lock(mutex_);
     Name name{from, to, std::filesystem::exists(to), {}};
     if (name.had) name.bytes = read(to);
     const auto done = target()->RenameFile(from, to);
@@ -79,6 +85,7 @@
     return done;
   }
   leveldb::Status RemoveFile(const std::string& file) override {
+    const std::lock_guard lock(mutex_);
     Name name{{}, file, true, std::filesystem::exists(file) ? read(file) : std::string()};
     const auto done = target()->RemoveFile(file);
     if (done.ok()) names_.push_back(std::move(name));
@@ -109,6 +116,7 @@
     leveldb::Status Sync() override {
       if (disk_.full) return leveldb::Status::IOError(name_, "No space left on device");
       const auto done = file_->Sync();
+      const std::lock_guard lock(disk_.mutex_);
       // LevelDB's own code syncs the folder with its MANIFEST.
       if (done.ok() && name_.find("MANIFEST") != std::string::npos) disk_.names_.clear();
       if (done.ok()) disk_.synced_[name_] = {std::filesystem::file_size(name_), true};
@@ -130,6 +138,7 @@
     std::ofstream(file, std::ios::binary | std::ios::trunc) << bytes;
   }
 
+  std::mutex mutex_;  // LevelDB compacts in a thread of its own
   std::mt19937_64 random_;
   std::map<std::string, Synced> synced_;
   std::vector<Name> names_;
