Read and change the configuration, and ask for status, from the command line

Cause: staff had to write MessagePack and follow redirects by hand, and nothing told what a process goes by. A core of one, as who tries the program first has it, never led: it waited for a backup.

Change: `lilacmux config get|put|diff` against any control node, in JSON or MessagePack, checked before it is sent; `lilacmux status` for a control node or a gateway, as lines or JSON, without keys (GET /api/status). A core of one member leads, and says that what it acknowledges is on one disk.

--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -12,6 +12,7 @@
 #include <exception>
 
 #include "cli/log.hpp"
+#include "cli/operator.hpp"
 #include "cli/settings.hpp"
 #include "control/node.hpp"
 #include "gateway/gateway.hpp"
@@ -127,6 +128,14 @@
   }
 }
 
+// Where to find the control plane: as told, else as the settings file says.
+std::vector<Endpoint> controlPlane(const std::string& told, const std::string& file) {
+  if (!told.empty()) return {parseAddress(told, "--at")};
+  const NodeSettings settings = readSettings(file);
+  if (settings.seeds.empty()) throw SettingsError("seedNodes: is empty; say --at ip:port");
+  return settings.seeds;
+}
+
 }  // namespace
 
 int main(int count, char** words) {
@@ -142,12 +151,36 @@
   auto* gateway = app.add_subcommand("gateway", "carries clients' requests to servers");
   auto* control = app.add_subcommand("control", "keeps the configuration; one of the core");
   auto* settings = app.add_subcommand("check", "reads the settings file and says what is wrong with it");
+  std::string at, configuration;
+  bool asJson = false;
+  auto* config = app.add_subcommand("config", "reads and changes the configuration of a running system");
+  config->add_option("--at", at, "a control listener, ip:port; else the settings file's seed nodes");
+  config->require_subcommand(1);
+  auto* get = config->add_subcommand("get", "prints what is in place, as JSON");
+  auto* put = config->add_subcommand("put", "puts a file in place of it; exit code 1: refused");
+  auto* diff = config->add_subcommand("diff", "what a file would change; exit code 1: something");
+  for (auto* each : {put, diff}) each->add_option("file", configuration, "JSON or MessagePack")->required();
+  auto* status = app.add_subcommand("status", "what a running process knows");
+  status->add_option("at", at, "its control or readiness listener, ip:port")->required();
+  status->add_flag("--json", asJson, "as JSON");
   try {
     app.parse(count, words);
   } catch (const CLI::ParseError& error) {
     return app.exit(error) == 0 ? 0 : kBadSettings;
   }
   if (settings->parsed()) return check(file);
+  try {
+    if (status->parsed()) return Operator::status(parseAddress(at, "at"), asJson);
+    if (config->parsed()) {
+      const Operator staff(controlPlane(at, file));
+      return get->parsed()   ? staff.get()
+             : put->parsed() ? staff.put(configuration)
+                             : staff.diff(configuration);
+    }
+  } catch (const SettingsError& why) {
+    std::fprintf(stderr, "lilacmux: %s\n", why.what());
+    return kBadSettings;
+  }
   if (control->parsed()) return runRole<ControlNode>(file, level);
   (void)gateway;
   return runRole<Gateway>(file, level);
--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -65,6 +65,8 @@
       tick_(io),
       leave_(io) {
   begin(settings_.bootstrap);
+  if (replica_->members().size() == 1)
+    log_("the core has one member: what is acknowledged is on one disk alone");
   frames_.emplace(
       io_, Endpoint(boost::asio::ip::make_address(settings_.address), controlPort(settings_)), kLinks,
       [this](Frame&& frame, const FrameServer::Reply& reply) { framed(std::move(frame), reply); }, log_);
@@ -205,6 +207,7 @@
 void ControlNode::called(Call&& call, const Respond& respond) {
   std::string_view rest = burlwind::view(call.target());
   const std::string path(burlwind::cut(rest, '?'));
+  if (path == "/api/status") return status(respond);
   const bool replaces = path == "/api/Configuration.Replace",
              describes = path == "/api/Configuration.Describe";
   if (!replaces && !describes) return respond(refusal(http::status::not_found, "no such call"));
@@ -230,6 +233,28 @@
   respond(callReply(http::status::ok, *state.body, kPack));
 }
 
+// For `lilacmux status`. Names and numbers alone: no key, and nothing of a body.
+void ControlNode::status(const Respond& respond) const {
+  const Durable& kept = replica_->durable();
+  nlohmann::json out = {{"role", "control"},
+                        {"node", settings_.name},
+                        {"address", self_},
+                        {"part", replica_->hasFailed()         ? "silent: its disk takes nothing"
+                                 : replica_->isPrimary()       ? "primary"
+                                 : !replica_->isMember()       ? "observer"
+                                 : kept.record.backup == self_ ? "backup"
+                                                               : "witness"},
+                        {"serves", replica_->mayServe(now())},
+                        {"leader", replica_->leader()},
+                        {"epoch", epochText(kept.record.epoch)},
+                        {"members", kept.record.members},
+                        {"leaving", kept.record.leaving},
+                        {"revision", kept.state.revision}};
+  if (changes_) out["changes"] = {{"place", changes_->place()}, {"revision", changes_->revision()}};
+  if (shares_) out["gatekeepers"] = shares_->gatekeepers(now());
+  respond(callReply(http::status::ok, out.dump() + "\n", "application/json"));
+}
+
 void ControlNode::replace(Call&& call, const Respond& respond) {
   const auto base = burlwind::number<std::uint64_t>(burlwind::view(call["X-Base-Revision"]));
   if (!base) return respond(refusal(http::status::bad_request, "X-Base-Revision is not a number"));
--- a/src/control/node.hpp
+++ b/src/control/node.hpp
@@ -59,6 +59,7 @@
   void called(Call&& call, const Respond& respond);
   void replace(Call&& call, const Respond& respond);
   void describe(const Respond& respond);
+  void status(const Respond& respond) const;
   void elsewhere(const std::string& path, const Respond& respond) const;
   void pump();
   void decide(Change&& change);
--- a/src/control/replica.cpp
+++ b/src/control/replica.cpp
@@ -265,7 +265,10 @@
   if (!message.yes) seen_ = std::max(seen_, message.epoch);
   if (!ballotIsOpen(now, true) || !message.yes || message.epoch != ballot_->epoch) return;
   ballot_->votes[message.from] = message;
-  if (!wins(ballot_->votes)) return;
+  if (wins(ballot_->votes)) win(now);
+}
+
+void Replica::win(Millis now) {
   const Ballot won = std::move(*ballot_);
   ballot_.reset();
   Record record = newestOf(won.votes);
@@ -331,7 +334,11 @@
 void Replica::onSynced(Millis now, const Message& message) {
   if (!primary_ || message.epoch != durable_.record.epoch || message.from != durable_.record.backup) return;
   peers_[message.from].heardAt = now;
-  if (message.sequence != durable_.state.sequence) return;
+  if (message.sequence == durable_.state.sequence) settle(now);
+}
+
+// The state is where it must be: what was proposed holds, if the record does.
+void Replica::settle(Millis now) {
   if (now >= leaseUntil(now)) return;  // after a standstill: others may have gone on
   std::set<NodeId> took{self_};
   for (const auto& [node, peer] : peers_)
@@ -399,10 +406,11 @@
     standAfter_ = now + timing_.stagger;
     return;
   }
-  if (!settled_ && now - syncAt_ >= timing_.resync && peers_[durable_.record.backup].tookEpoch == epoch())
+  const NodeId& backup = durable_.record.backup;
+  if (!settled_ && now - syncAt_ >= timing_.resync && (backup.empty() || peers_[backup].tookEpoch == epoch()))
     sendSync(now);
   if (replaceSilent(now)) return;
-  if (now - heardAt(durable_.record.backup) < timing_.backupSilent) return;
+  if (backup.empty() || now - heardAt(backup) < timing_.backupSilent) return;
   const NodeId other = chooseBackup(now);
   if (other.empty()) return;
   host_.log("the backup is silent: " + other + " takes its place");
@@ -462,6 +470,7 @@
 
 void Replica::sendSync(Millis now) {
   syncAt_ = now;
+  if (durable_.record.backup.empty()) return settle(now);  // a core of one
   Message sync = make(Message::Kind::sync);
   sync.state = durable_.state;
   host_.send(durable_.record.backup, sync);
@@ -510,6 +519,7 @@
 void Replica::probe(Millis now) {
   standAfter_ = 0;
   ballot_ = Ballot{false, 0, now, {}};
+  if (wins({})) return stand(now);  // a core of one
   broadcast(make(Message::Kind::probe));
 }
 
@@ -519,6 +529,7 @@
   standAfter_ = primary_ ? now + timing_.standAgain : 0;
   if (!keep()) return;
   ballot_ = Ballot{true, durable_.promised, now, {}};
+  if (wins({})) return win(now);
   Message ask = make(Message::Kind::ask);
   ask.epoch = durable_.promised;
   broadcast(ask);
--- a/src/control/replica.hpp
+++ b/src/control/replica.hpp
@@ -173,6 +173,8 @@
   std::uint64_t nextRound() const;
   void lead(Millis now, const Record& record);
   void sendSync(Millis now);
+  void settle(Millis now);
+  void win(Millis now);
   void stepDown(const std::string& why);
   NodeId chooseBackup(Millis now) const;
   void renew(Millis now, Record next);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -130,6 +130,8 @@
   server_.start();
   readiness_.emplace(io_, *settings_.readiness, burlwind::CallServer::Limits{},
                      [this](burlwind::CallServer::Call&& call, const burlwind::CallServer::Respond& respond) {
+                       if (call.target() == "/api/status")
+                         return respond(burlwind::callReply(http::status::ok, status(), "application/json"));
                        const bool known = call.target() == "/api/readiness";
                        respond(burlwind::callReply(!known    ? http::status::not_found
                                                    : ready() ? http::status::ok
@@ -157,6 +159,35 @@
 
 bool Gateway::ready() const { return !draining_ && listed_ && mayServe(); }
 
+// For `lilacmux status`: what this gatekeeper goes by. No key.
+std::string Gateway::status() const {
+  struct Count {
+    std::size_t listed = 0, draining = 0, avoided = 0;
+  };
+  std::map<std::string, Count> counts;
+  for (const auto& [id, instance] : instances_) {
+    ++counts[instance.service].listed;
+    counts[instance.service].draining += instance.draining;
+  }
+  for (const auto& [name, lane] : lanes_)
+    if (lane) counts[name].avoided = lane->module().pool(now()).avoided;
+  nlohmann::json services = nlohmann::json::object();
+  for (const auto& [name, count] : counts)
+    services[name] = {{"listed", count.listed}, {"draining", count.draining}, {"avoided", count.avoided}};
+  const nlohmann::json out = {{"role", "gateway"},
+                              {"node", settings_.name},
+                              {"zone", settings_.zone},
+                              {"ready", ready()},
+                              {"draining", draining_},
+                              {"revision", table_ ? table_->revision() : 0},
+                              {"lease_ms", std::max(0.0, leaseUntil_ - now())},
+                              {"log", {{"epoch", epochText(epoch_)}, {"place", place_}}},
+                              {"gatekeepers", fleet_},
+                              {"held", held_.size()},
+                              {"services", services}};
+  return out.dump() + "\n";
+}
+
 void Gateway::reload(const NodeSettings& settings) {
   follower_->add(candidates(settings));
   log_("settings read");
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -83,6 +83,7 @@
   void setTimer(Lane& lane, Time wait, std::uint64_t tag) override;
   void log(const std::string& line) override { log_(line); }
 
+  std::string status() const;
   FollowCall asks();
   void news(const FollowAnswer& answer, double sentAt);
   void configure(const std::string& body);
--- a/tests/system/core_test.cpp
+++ b/tests/system/core_test.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/write.hpp>
 #include <filesystem>
 #include <nlohmann/json.hpp>
+#include <set>
 
 #include "control/node.hpp"
 #include "gateway/gateway.hpp"
@@ -227,6 +228,23 @@
   EXPECT_EQ(arrivals, before + 1);
 }
 
+TEST_F(Core, StatusTellsWhatEachProcessGoesByAndNoKey) {
+  ASSERT_EQ(replace(configuration(2, "secret-key"), 0), 200u);
+  until([&] { return gateway->ready(); }, "the gateway follows");
+  const auto told = [&](const tcp::endpoint& at) {
+    const std::string got = exchange(at, "GET /api/status HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    EXPECT_FALSE(has(got, "secret-key"));
+    return json::parse(got.substr(got.find("\r\n\r\n") + 4), nullptr, false);
+  };
+  const json front = told(*settings(0, true).readiness);
+  EXPECT_EQ(front.value("revision", 0), 2);
+  EXPECT_TRUE(front.value("ready", false));
+  EXPECT_EQ(front["services"]["s"].value("listed", 0), 1);
+  std::multiset<std::string> parts;
+  for (std::size_t i = 0; i < 3; ++i) parts.insert(told(*settings(i, true).controlPlane).value("part", ""));
+  EXPECT_EQ(parts, (std::multiset<std::string>{"backup", "primary", "witness"}));
+}
+
 TEST_F(Core, AKeyThatIsTakenAwayIsRefusedAndTheNextPrimaryKnows) {
   ASSERT_EQ(replace(configuration(2, "old"), 0), 200u);
   until([&] { return gateway->ready(); }, "the gateway follows");
--- a/tests/system/parts_test.cpp
+++ b/tests/system/parts_test.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/write.hpp>
 #include <nlohmann/json.hpp>
 
+#include "cli/operator.hpp"
 #include "cli/settings.hpp"
 #include "control/change_log.hpp"
 #include "control/configuration.hpp"
@@ -151,6 +152,32 @@
   EXPECT_TRUE(std::holds_alternative<std::string>(parsePage(pack(lacks))));
 }
 
+TEST(Operator, AFileIsReadInBothFormsAndWhatItWouldChangeIsToldByPath) {
+  const json good = {{"revision", 3},
+                     {"routeRules",
+                      {{{"name", "r"},
+                        {"hostname", "a.example"},
+                        {"pathPrefix", "/a/"},
+                        {"routeType", "idempotent"},
+                        {"timeoutMs", 500},
+                        {"targetLatencyMs", 300},
+                        {"targetService", "s"}}}},
+                     {"backendServices", {{{"name", "s"}}}}};
+  const auto packed = json::to_msgpack(good);
+  EXPECT_EQ(configurationFrom(good.dump()), good);
+  EXPECT_EQ(configurationFrom({packed.begin(), packed.end()}), good);
+  json other = good;
+  other["revision"] = 4;
+  other["routeRules"][0]["timeoutMs"] = 900;
+  const auto lines = differences(good, other);
+  EXPECT_EQ(lines,
+            (std::vector<std::string>{"~ /revision: 3 -> 4", "~ /routeRules/0/timeoutMs: 500 -> 900"}));
+  EXPECT_TRUE(differences(good, good).empty());
+  other["routeRules"][0]["targetService"] = "nowhere";
+  EXPECT_THROW(configurationFrom(other.dump()), SettingsError);
+  EXPECT_THROW(configurationFrom("{"), SettingsError);
+}
+
 TEST(Frames, AreTakenWholeAndRubbishIsSeen) {
   Frame frame;
   frame.head = {{"t", "x"}};
--- a/tests/system/replica_test.cpp
+++ b/tests/system/replica_test.cpp
@@ -43,6 +43,20 @@
     EXPECT_EQ(world.at(name).durable().record.epoch, world.at(*first).epoch()) << name << " is left out";
 }
 
+TEST(Replica, ACoreOfOneLeadsAndKeepsWhatItAcknowledged) {
+  CoreWorld world(2, 1);
+  world.startAll();
+  ASSERT_TRUE(world.settle(3000));
+  ASSERT_TRUE(world.propose());
+  world.run(200);
+  EXPECT_EQ(world.acknowledged, 1u);
+  world.kill(world.names()[0]);
+  world.start(world.names()[0], false);
+  ASSERT_TRUE(world.settle(3000));
+  EXPECT_EQ(world.at(world.names()[0]).committed().revision, 1u);
+  EXPECT_TRUE(world.violations.empty());
+}
+
 TEST(Replica, TheBackupTakesOverWithAllThatWasAcknowledged) {
   for (std::uint64_t seed = 0; seed < 40; ++seed) {
     CoreWorld world(seed);
