Save the configuration into a checksummed file and put it back

Cause: nothing took the acknowledged configuration out of a system, or brought it into a new one.

Written beside, synced and renamed, for its owner alone. What is torn, changed or not of this form is refused and nothing is sent.

--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -160,6 +160,13 @@
   auto* put = config->add_subcommand("put", "puts a file in place of it; exit code 1: refused");
   auto* diff = config->add_subcommand("diff", "what a file would change; exit code 1: something");
   for (auto* each : {put, diff}) each->add_option("file", configuration, "JSON or MessagePack")->required();
+  auto* snapshot = app.add_subcommand("snapshot", "the configuration in a checksummed file");
+  snapshot->add_option("--at", at, "a control listener, ip:port; else the settings file's seed nodes");
+  snapshot->require_subcommand(1);
+  auto* save = snapshot->add_subcommand("save", "what is in place, into a file");
+  auto* restore = snapshot->add_subcommand("restore", "a file into a system that has none, or an older one");
+  auto* inspect = snapshot->add_subcommand("inspect", "whether a file is whole, and what it holds");
+  for (auto* each : {save, restore, inspect}) each->add_option("file", configuration, "the file")->required();
   auto* status = app.add_subcommand("status", "what a running process knows");
   status->add_option("at", at, "its control or readiness listener, ip:port")->required();
   status->add_flag("--json", asJson, "as JSON");
@@ -171,6 +178,11 @@
   if (settings->parsed()) return check(file);
   try {
     if (status->parsed()) return Operator::status(parseAddress(at, "at"), asJson);
+    if (inspect->parsed()) return Operator::inspect(configuration);
+    if (snapshot->parsed()) {
+      const Operator staff(controlPlane(at, file));
+      return save->parsed() ? staff.save(configuration) : staff.restore(configuration);
+    }
     if (config->parsed()) {
       const Operator staff(controlPlane(at, file));
       return get->parsed()   ? staff.get()
--- a/src/cli/operator.cpp
+++ b/src/cli/operator.cpp
@@ -1,17 +1,23 @@
 #include "cli/operator.hpp"
 
+#include <fcntl.h>
+#include <unistd.h>
+
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 #include <chrono>
 #include <cstdio>
+#include <filesystem>
 #include <fstream>
 #include <iterator>
 #include <optional>
 #include <thread>
 
+#include "cli/snapshot.hpp"
 #include "control/configuration.hpp"
+#include "store/store.hpp"
 
 namespace lilacmux {
 namespace {
@@ -89,6 +95,31 @@
   return {std::istreambuf_iterator<char>(in), {}};
 }
 
+std::string whyNot(unsigned status, const std::string& body) {
+  return status == 0 ? "no control node answers" : lineOf(body);
+}
+
+// Whole or not at all, also through a loss of power.
+bool writeWhole(const std::string& file, const std::string& bytes) {
+  const std::string aside = file + ".new";
+  const int fd = ::open(aside.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);  // it holds keys
+  if (fd < 0) return false;
+  std::size_t done = 0;
+  while (done < bytes.size()) {
+    const ssize_t wrote = ::write(fd, bytes.data() + done, bytes.size() - done);
+    if (wrote < 0) break;
+    done += static_cast<std::size_t>(wrote);
+  }
+  const bool good = done == bytes.size() && ::fsync(fd) == 0;
+  ::close(fd);
+  if (!good || ::rename(aside.c_str(), file.c_str()) != 0) {
+    ::unlink(aside.c_str());
+    return false;
+  }
+  const auto folder = std::filesystem::absolute(file).parent_path();
+  return syncFolder(folder);
+}
+
 std::string shortly(const json& value) {
   const std::string out = value.dump();
   return out.size() > 60 ? out.substr(0, 57) + "..." : out;
@@ -156,35 +187,64 @@
 
 int Operator::get() const {
   const Reply reply = describe();
-  if (reply.status != 200)
-    return trouble(kRefused, reply.status ? lineOf(reply.body) : "no control node answers");
+  if (reply.status != 200) return trouble(kRefused, whyNot(reply.status, reply.body));
   std::printf("%s\n", json::from_msgpack(reply.body).dump(2).c_str());
   return 0;
 }
 
 int Operator::put(const std::string& file) const {
-  json next;
   try {
-    next = configurationFrom(bytesOf(file));
+    const json next = configurationFrom(bytesOf(file));
+    const auto packed = json::to_msgpack(next);
+    return replace(next.value("revision", std::uint64_t{0}), {packed.begin(), packed.end()});
   } catch (const SettingsError& why) {
     return trouble(kBadInput, file + ": " + why.what());
   }
+}
+
+// On top of whatever is in place.
+int Operator::replace(std::uint64_t revision, const std::string& packed) const {
   const Reply now = describe();
-  if (now.status != 200 && now.status != 404)
-    return trouble(kRefused, now.status ? lineOf(now.body) : "no control node answers");
+  if (now.status != 200 && now.status != 404) return trouble(kRefused, whyNot(now.status, now.body));
   const std::uint64_t base =
       now.status == 404 ? 0 : json::from_msgpack(now.body).value("revision", std::uint64_t{0});
-  const auto packed = json::to_msgpack(next);
-  const Reply reply = call(true, "/api/Configuration.Replace", {packed.begin(), packed.end()}, base);
-  if (reply.status != 200)
-    return trouble(kRefused,
-                   reply.status ? lineOf(reply.body) : "no control node answers: it may have been taken");
-  std::printf("revision %llu is taken, in place of %llu\n",
-              static_cast<unsigned long long>(next.value("revision", std::uint64_t{0})),
+  const Reply reply = call(true, "/api/Configuration.Replace", packed, base);
+  if (reply.status == 0) return trouble(kRefused, "no control node answers: it may have been taken");
+  if (reply.status != 200) return trouble(kRefused, lineOf(reply.body));
+  std::printf("revision %llu is taken, in place of %llu\n", static_cast<unsigned long long>(revision),
               static_cast<unsigned long long>(base));
   return 0;
 }
 
+int Operator::save(const std::string& file) const {
+  const Reply now = describe();
+  if (now.status != 200) return trouble(kRefused, whyNot(now.status, now.body));
+  const Snapshot snapshot{json::from_msgpack(now.body).value("revision", std::uint64_t{0}), now.body};
+  if (!writeWhole(file, toBytes(snapshot))) return trouble(kBadInput, file + ": cannot be written");
+  std::printf("revision %llu is saved\n", static_cast<unsigned long long>(snapshot.revision));
+  return 0;
+}
+
+int Operator::restore(const std::string& file) const {
+  try {
+    const Snapshot snapshot = snapshotFrom(bytesOf(file));
+    return replace(snapshot.revision, snapshot.body);
+  } catch (const SettingsError& why) {
+    return trouble(kBadInput, file + ": " + why.what());
+  }
+}
+
+int Operator::inspect(const std::string& file) {
+  try {
+    const Snapshot snapshot = snapshotFrom(bytesOf(file));
+    std::printf("revision %llu, %zu bytes, whole\n%s\n", static_cast<unsigned long long>(snapshot.revision),
+                snapshot.body.size(), json::from_msgpack(snapshot.body).dump(2).c_str());
+    return 0;
+  } catch (const SettingsError& why) {
+    return trouble(kBadInput, file + ": " + why.what());
+  }
+}
+
 int Operator::diff(const std::string& file) const {
   json next;
   try {
@@ -193,8 +253,7 @@
     return trouble(kBadInput, file + ": " + why.what());
   }
   const Reply now = describe();
-  if (now.status != 200 && now.status != 404)
-    return trouble(kBadInput, now.status ? lineOf(now.body) : "no control node answers");
+  if (now.status != 200 && now.status != 404) return trouble(kBadInput, whyNot(now.status, now.body));
   const auto lines = differences(now.status == 404 ? json::object() : json::from_msgpack(now.body), next);
   for (const std::string& line : lines) std::printf("%s\n", line.c_str());
   return lines.empty() ? 0 : kDiffers;
--- a/src/cli/operator.hpp
+++ b/src/cli/operator.hpp
@@ -27,6 +27,11 @@
   int get() const;
   int put(const std::string& file) const;
   int diff(const std::string& file) const;
+  // The acknowledged configuration into a file, checksummed; out of it again, into a system that has none or
+  // an older one; and what a file holds, without asking anybody.
+  int save(const std::string& file) const;
+  int restore(const std::string& file) const;
+  static int inspect(const std::string& file);
   // Of the process that listens at `at`: a control listener or a gateway's readiness listener.
   static int status(const Endpoint& at, bool asJson);
 
@@ -36,6 +41,7 @@
     std::string body;
   };
   Reply call(bool post, const std::string& path, const std::string& body, std::uint64_t base) const;
+  int replace(std::uint64_t revision, const std::string& packed) const;
   Reply describe() const { return call(false, "/api/Configuration.Describe", {}, 0); }
 
   const std::vector<Endpoint> control_;
