Keep one acceptor, one set of stream steps and one estimate of rates where there were two

Cause: read once more, the change had written several things twice. CallServer and FrameServer each opened, bound and accepted alike; Gateway and the inherited Gatekeeper began streams, passed pieces and reported attempts without time alike; RateMeter and Admission had the same estimate; the revisions taken were turned into JSON by hand in two places, in the form that the library writes itself; three places caught wrong settings; a clock was passed to resign() and not read.

Change: net/acceptor, node/held_steps.hpp and rateAfter() serve both sides; the library writes the map; main catches wrong settings once. Behaviour, bounds and the tests' assertions are as they were.

--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -22,7 +22,6 @@
 using namespace lilacmux;
 using namespace std::chrono_literals;
 
-constexpr int kBadSettings = 2;
 constexpr int kFailed = 1;
 constexpr auto kLookEvery = 1000ms;  // whether the settings file has changed without a signal
 
@@ -108,9 +107,8 @@
     tuneMemory();
     Process<Role>(file, log).run();
     return 0;
-  } catch (const SettingsError& why) {
-    std::fprintf(stderr, "lilacmux: %s\n", why.what());
-    return kBadSettings;
+  } catch (const SettingsError&) {
+    throw;
   } catch (const std::exception& why) {
     log.error(why.what());
     return kFailed;
@@ -118,14 +116,9 @@
 }
 
 int check(const std::string& file) {
-  try {
-    const NodeSettings settings = readSettings(file);
-    std::printf("%s: good, node %s in %s\n", file.c_str(), settings.name.c_str(), settings.zone.c_str());
-    return 0;
-  } catch (const SettingsError& why) {
-    std::fprintf(stderr, "lilacmux: %s\n", why.what());
-    return kBadSettings;
-  }
+  const NodeSettings settings = readSettings(file);
+  std::printf("%s: good, node %s in %s\n", file.c_str(), settings.name.c_str(), settings.zone.c_str());
+  return 0;
 }
 
 // Where to find the control plane: as told, else as the settings file says.
@@ -148,35 +141,35 @@
   app.set_version_flag("--version", "lilacmux 0.1.0");
   app.require_subcommand(1);
   app.fallthrough();
-  auto* gateway = app.add_subcommand("gateway", "carries clients' requests to servers");
+  app.add_subcommand("gateway", "carries clients' requests to servers");
   auto* control = app.add_subcommand("control", "keeps the configuration; one of the core");
   auto* settings = app.add_subcommand("check", "reads the settings file and says what is wrong with it");
   std::string at, configuration;
   bool asJson = false;
   auto* config = app.add_subcommand("config", "reads and changes the configuration of a running system");
-  config->add_option("--at", at, "a control listener, ip:port; else the settings file's seed nodes");
-  config->require_subcommand(1);
   auto* get = config->add_subcommand("get", "prints what is in place, as JSON");
   auto* put = config->add_subcommand("put", "puts a file in place of it; exit code 1: refused");
   auto* diff = config->add_subcommand("diff", "what a file would change; exit code 1: something");
   for (auto* each : {put, diff}) each->add_option("file", configuration, "JSON or MessagePack")->required();
   auto* snapshot = app.add_subcommand("snapshot", "the configuration in a checksummed file");
-  snapshot->add_option("--at", at, "a control listener, ip:port; else the settings file's seed nodes");
-  snapshot->require_subcommand(1);
   auto* save = snapshot->add_subcommand("save", "what is in place, into a file");
   auto* restore = snapshot->add_subcommand("restore", "a file into a system that has none, or an older one");
   auto* inspect = snapshot->add_subcommand("inspect", "whether a file is whole, and what it holds");
   for (auto* each : {save, restore, inspect}) each->add_option("file", configuration, "the file")->required();
+  for (auto* each : {config, snapshot}) {
+    each->add_option("--at", at, "a control listener, ip:port; else the settings file's seed nodes");
+    each->require_subcommand(1);
+  }
   auto* status = app.add_subcommand("status", "what a running process knows");
   status->add_option("at", at, "its control or readiness listener, ip:port")->required();
   status->add_flag("--json", asJson, "as JSON");
   try {
     app.parse(count, words);
   } catch (const CLI::ParseError& error) {
-    return app.exit(error) == 0 ? 0 : kBadSettings;
+    return app.exit(error) == 0 ? 0 : kBadInput;
   }
-  if (settings->parsed()) return check(file);
   try {
+    if (settings->parsed()) return check(file);
     if (status->parsed()) return Operator::status(parseAddress(at, "at"), asJson);
     if (inspect->parsed()) return Operator::inspect(configuration);
     if (snapshot->parsed()) {
@@ -189,11 +182,9 @@
              : put->parsed() ? staff.put(configuration)
                              : staff.diff(configuration);
     }
+    return control->parsed() ? runRole<ControlNode>(file, level) : runRole<Gateway>(file, level);
   } catch (const SettingsError& why) {
     std::fprintf(stderr, "lilacmux: %s\n", why.what());
-    return kBadSettings;
+    return kBadInput;
   }
-  if (control->parsed()) return runRole<ControlNode>(file, level);
-  (void)gateway;
-  return runRole<Gateway>(file, level);
 }
--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -93,7 +93,7 @@
 
 void ControlNode::drain(std::function<void()> done) {
   leaving_ = true;
-  replica_->resign(now());
+  replica_->resign();
   leave_.expires_after(kLeaveAfter);
   leave_.async_wait([done = std::move(done)](const boost::system::error_code&) { done(); });
 }
--- a/src/control/replica.cpp
+++ b/src/control/replica.cpp
@@ -486,13 +486,12 @@
   host_.lostPrimacy();
 }
 
-void Replica::resign(Millis now) {
+void Replica::resign() {
   resigned_ = true;
   if (!primary_) return;
   const bool settled = settled_;
   const Message word = make(Message::Kind::resign);
   stepDown("it leaves");
-  (void)now;
   if (settled) broadcast(word);
 }
 
--- a/src/control/replica.hpp
+++ b/src/control/replica.hpp
@@ -115,7 +115,7 @@
   // Only where canWrite(). The host is told once it has been committed, or that primacy was lost.
   void propose(Millis now, const State& next);
   // Going down in order: the backup may take over at once.
-  void resign(Millis now);
+  void resign();
 
   bool isMember() const;
   // Whether the committed state is the newest there is, now.
--- a/src/control/wire.cpp
+++ b/src/control/wire.cpp
@@ -30,11 +30,9 @@
 }
 
 void addState(const State& state, Frame& out) {
-  json taken = json::array();
-  for (const auto& [revision, print] : state.fingerprint) taken.push_back({revision, print});
   out.head["state"] = {{"sequence", state.sequence},
                        {"revision", state.revision},
-                       {"taken", taken},
+                       {"taken", state.fingerprint},
                        {"holders", state.holders}};
   if (state.body) out.body = *state.body;
 }
@@ -44,8 +42,7 @@
   in.at("sequence").get_to(out.sequence);
   in.at("revision").get_to(out.revision);
   in.at("holders").get_to(out.holders);
-  for (const json& entry : in.at("taken"))
-    out.fingerprint[entry.at(0).get<std::uint64_t>()] = entry.at(1).get<std::uint64_t>();
+  in.at("taken").get_to(out.fingerprint);
   if (out.revision > 0) out.body = std::make_shared<const std::string>(std::move(body));
   return out;
 }
--- a/src/gateway/admission.cpp
+++ b/src/gateway/admission.cpp
@@ -1,9 +1,9 @@
 #include "gateway/admission.hpp"
 
 #include <algorithm>
-#include <cmath>
 
 #include "bucket.hpp"
+#include "gateway/rate_meter.hpp"
 
 namespace lilacmux {
 namespace {
@@ -13,10 +13,8 @@
 constexpr double kClimb = 5000;                      // ms from the floor back to 1 without readings
 constexpr double kAloneBurst = 4;                    // tokens that a lent rate alone saves up
 constexpr double kLeastWait = 40, kMostWait = 2000;  // ms advised
-constexpr double kLowS = 0.15;       // seconds of demand in the stock under which more is asked for
-constexpr double kLow = 1;           // and tokens
-constexpr double kDemandTau = 1000;  // ms, memory of demand; shorter: one request looks like a crowd
-constexpr double kDemandSpan = 200;  // ms that a word on demand stands for at least
+constexpr double kLowS = 0.15;  // seconds of demand in the stock under which more is asked for
+constexpr double kLow = 1;      // and tokens
 
 }  // namespace
 
@@ -115,10 +113,10 @@
     if (!limited_.contains(b.tenant)) continue;
     fill(b, now);
     // A look before its time tells what that span's end would tell at least, so that a crowd is seen at once.
-    const Millis span = std::max(now - b.askedFrom, kDemandSpan);
-    const double perS = b.perS + (1000 * b.asked / span - b.perS) * (1 - std::exp(-span / kDemandTau));
+    const Millis span = std::max(now - b.askedFrom, kRateSpan);
+    const double perS = rateAfter(b.perS, b.asked, span);
     double told = std::max(b.perS, perS);
-    if (now - b.askedFrom >= kDemandSpan) {
+    if (now - b.askedFrom >= kRateSpan) {
       told = b.perS = perS;
       b.asked = 0;
       b.askedFrom = now;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,12 +1,12 @@
 #include "gateway/gateway.hpp"
 
 #include <algorithm>
-#include <boost/asio/post.hpp>
 #include <chrono>
 #include <cmath>
 #include <set>
 
 #include "net/steady.hpp"
+#include "node/held_steps.hpp"
 
 namespace lilacmux {
 namespace {
@@ -473,8 +473,9 @@
 
 // A further try that has not arrived gives back what it was paid.
 void Gateway::settle(Held& held, bool arrived) {
-  if (held.further == Held::Further::out) retries_.ended(now(), *held.service, arrived);
-  if (held.further == Held::Further::out) held.further = Held::Further::none;
+  if (held.further != Held::Further::out) return;
+  retries_.ended(now(), *held.service, arrived);
+  held.further = Held::Further::none;
 }
 
 // This gatekeeper's part of the budget is used up, and it has asked for more: the answer is some ms away. If
@@ -497,18 +498,10 @@
 }
 
 bool Gateway::begun(RequestId id, const burlwind::AnswerHead& head) {
-  const auto found = held_.find(id);
-  if (found == held_.end()) return false;
-  found->second.streams = true;
-  found->second.deadline.cancel();
-  found->second.asker->begin(head);
-  return true;
+  return burlwind::beginStream(held_, id, head);
 }
 
-void Gateway::piece(RequestId id, std::string&& bytes) {
-  const auto found = held_.find(id);
-  if (found != held_.end()) found->second.asker->piece(std::move(bytes));
-}
+void Gateway::piece(RequestId id, std::string&& bytes) { burlwind::passPiece(held_, id, std::move(bytes)); }
 
 void Gateway::endStream(RequestId id, bool whole) {
   const auto found = held_.find(id);
@@ -548,7 +541,9 @@
   Held& held = found->second;
   const Time left = held.expires - now();
   out_[id] = lane.shared_from_this();
-  if (left <= 0) return reportMoot(id, held.attempts++, server);
+  if (left <= 0)
+    return burlwind::reportMoot(io_, id, held.attempts++, server,
+                                [this](AttemptEnd&& end) { ended(std::move(end)); });
   if (held.further == Held::Further::paid) held.further = Held::Further::out;
   const bool early = timeout > 0 && timeout < left;
   if (!held.body) prepare(held);
@@ -559,16 +554,6 @@
               early ? std::optional(span(timeout)) : std::nullopt);
 }
 
-// No time is left: nothing is sent, and the module learns so from a handler of its own.
-void Gateway::reportMoot(RequestId id, unsigned attempt, WorkerId server) {
-  AttemptEnd end;
-  end.outcome.id = id;
-  end.outcome.attempt = attempt;
-  end.outcome.worker = server;
-  end.outcome.result = Result::moot;
-  boost::asio::post(io_, [this, end = std::move(end)]() mutable { ended(std::move(end)); });
-}
-
 void Gateway::refuse(RequestId id, Time retryAfter) { giveUp(id, retryAfter); }
 void Gateway::fail(RequestId id) { giveUp(id, kRetryAfter); }
 
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -95,7 +95,6 @@
   bool pays(Held& held);
   void settle(Held& held, bool arrived);
   void awaitBudget(irisring::Outcome outcome, std::shared_ptr<Lane> lane, unsigned looks);
-  void reportMoot(RequestId id, unsigned attempt, irisring::WorkerId server);
   void expire(RequestId id);
   void giveUpAll();
   void answer(RequestId id, burlwind::Answer answer);  // by value: it may stand in what is released
--- a/src/gateway/rate_meter.hpp
+++ b/src/gateway/rate_meter.hpp
@@ -7,6 +7,13 @@
 
 namespace lilacmux {
 
+// The one estimate of what comes a second lately, after `came` more within `span` ms.
+inline double rateAfter(double perS, double came, double span) {
+  constexpr double kTau = 1000;  // ms, its memory; shorter: one request looks like a crowd
+  return perS + (1000 * came / span - perS) * (1 - std::exp(-span / kTau));
+}
+constexpr double kRateSpan = 200;  // ms that one look stands for at least
+
 class RateMeter {
  public:
   void count(const std::string& name) { meters_[name].came += 1; }
@@ -16,19 +23,17 @@
     std::map<std::string, double> out;
     const double span = now - from_;
     for (auto& [name, meter] : meters_) {
-      if (span >= kLeastSpan) {
-        meter.perS += (1000 * meter.came / span - meter.perS) * (1 - std::exp(-span / kTau));
+      if (span >= kRateSpan) {
+        meter.perS = rateAfter(meter.perS, meter.came, span);
         meter.came = 0;
       }
       out[name] = meter.perS;
     }
-    if (span >= kLeastSpan) from_ = now;
+    if (span >= kRateSpan) from_ = now;
     return out;
   }
 
  private:
-  static constexpr double kTau = 1000;       // shorter: one request looks like a crowd
-  static constexpr double kLeastSpan = 200;  // that one look stands for
   struct Meter {
     double came = 0, perS = 0;
   };
--- /dev/null
+++ b/src/net/acceptor.cpp
@@ -0,0 +1,45 @@
+#include "net/acceptor.hpp"
+
+#include <chrono>
+#include <stdexcept>
+#include <string>
+
+namespace burlwind {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using Error = boost::system::error_code;
+
+constexpr auto kPause = std::chrono::milliseconds(50);  // after an accept that failed
+
+}  // namespace
+
+Acceptor::Acceptor(asio::io_context& io, const tcp::endpoint& address, const char* where, Came came)
+    : came_(std::move(came)), acceptor_(io), pause_(io) {
+  try {
+    acceptor_.open(address.protocol());
+    acceptor_.set_option(tcp::acceptor::reuse_address(true));
+    acceptor_.bind(address);
+    acceptor_.listen();
+  } catch (const boost::system::system_error& error) {
+    throw std::runtime_error(std::string("cannot listen ") + where + ": " + error.what());
+  }
+  accept();
+}
+
+void Acceptor::accept() {
+  acceptor_.async_accept([this](const Error& error, tcp::socket socket) {
+    if (error == asio::error::operation_aborted) return;
+    if (!error) {
+      came_(std::move(socket));
+      return accept();
+    }
+    pause_.expires_after(kPause);
+    pause_.async_wait([this](const Error& late) {
+      if (!late) accept();
+    });
+  });
+}
+
+}  // namespace burlwind
--- a/src/net/call_server.cpp
+++ b/src/net/call_server.cpp
@@ -2,7 +2,6 @@
 
 #include <boost/beast/core/tcp_stream.hpp>
 #include <optional>
-#include <stdexcept>
 
 namespace burlwind {
 namespace {
@@ -12,7 +11,6 @@
 
 constexpr std::size_t kMostHead = 4 * 1024;    // of a call
 constexpr std::size_t kReadAhead = 64 * 1024;  // of its body
-constexpr auto kAcceptPause = 50ms;            // after an accept that failed
 
 }  // namespace
 
@@ -134,35 +132,16 @@
 
 CallServer::CallServer(asio::io_context& io, const tcp::endpoint& address, const Limits& limits,
                        Handler handler)
-    : limits_(limits), handler_(std::move(handler)), acceptor_(io), pause_(io) {
-  try {
-    acceptor_.open(address.protocol());
-    acceptor_.set_option(tcp::acceptor::reuse_address(true));
-    acceptor_.bind(address);
-    acceptor_.listen();
-  } catch (const boost::system::system_error& error) {
-    throw std::runtime_error(std::string("cannot listen for calls: ") + error.what());
-  }
-  accept();
-}
+    : limits_(limits),
+      handler_(std::move(handler)),
+      acceptor_(io, address, "for calls", [this](tcp::socket socket) { add(std::move(socket)); }) {}
 
 CallServer::~CallServer() {
   for (const auto& session : sessions_) session->abandon();
 }
 
-// One accept is pending, always. At the limit the oldest session makes room: one that is answered has waited
-// for its peer at least as long as the newest call has.
-void CallServer::accept() {
-  acceptor_.async_accept([this](const Error& error, tcp::socket socket) {
-    if (error == asio::error::operation_aborted) return;
-    if (!error) return add(std::move(socket));
-    pause_.expires_after(kAcceptPause);
-    pause_.async_wait([this](const Error& late) {
-      if (!late) accept();
-    });
-  });
-}
-
+// At the limit the oldest session makes room: one that is answered has waited for its peer at least as long
+// as the newest call has.
 void CallServer::add(tcp::socket socket) {
   if (sessions_.size() >= limits_.connections) {
     sessions_.front()->abandon();
@@ -170,7 +149,6 @@
   }
   const auto session = std::make_shared<Session>(*this, std::move(socket));
   session->start(sessions_.insert(sessions_.end(), session));
-  accept();
 }
 
 }  // namespace burlwind
--- a/src/net/call_server.hpp
+++ b/src/net/call_server.hpp
@@ -4,13 +4,13 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <functional>
 #include <list>
 #include <memory>
 #include <string>
 
+#include "net/acceptor.hpp"
 #include "node/http.hpp"
 
 namespace burlwind {
@@ -42,21 +42,19 @@
   CallServer(const CallServer&) = delete;
   CallServer& operator=(const CallServer&) = delete;
 
-  boost::asio::ip::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
+  boost::asio::ip::tcp::endpoint address() const { return acceptor_.address(); }
   std::size_t connections() const { return sessions_.size(); }
 
  private:
   class Session;
   using Sessions = std::list<std::shared_ptr<Session>>;
 
-  void accept();
   void add(boost::asio::ip::tcp::socket socket);
 
   const Limits limits_;
   const Handler handler_;
-  boost::asio::ip::tcp::acceptor acceptor_;
-  boost::asio::steady_timer pause_;
   Sessions sessions_;  // the oldest first
+  Acceptor acceptor_;
 };
 
 }  // namespace burlwind
--- a/src/net/frames.cpp
+++ b/src/net/frames.cpp
@@ -14,7 +14,6 @@
 using namespace std::chrono_literals;
 
 constexpr auto kConnectWithin = 150ms;  // a machine that is down says nothing: the next call tries anew
-constexpr auto kAcceptPause = 50ms;
 constexpr std::size_t kMostEarly = 64;  // frames that wait for a connection
 constexpr const char* kCallField = "#";
 
@@ -133,36 +132,16 @@
 
 FrameServer::FrameServer(asio::io_context& io, const tcp::endpoint& address, std::size_t connections,
                          Handler handler, Log log)
-    : most_(connections), handler_(std::move(handler)), log_(std::move(log)), acceptor_(io), pause_(io) {
-  try {
-    acceptor_.open(address.protocol());
-    acceptor_.set_option(tcp::acceptor::reuse_address(true));
-    acceptor_.bind(address);
-    acceptor_.listen();
-  } catch (const boost::system::system_error& error) {
-    throw std::runtime_error(std::string("cannot listen on the internal port: ") + error.what());
-  }
-  accept();
+    : most_(connections),
+      handler_(std::move(handler)),
+      log_(std::move(log)),
+      acceptor_(io, address, "on the internal port", [this](tcp::socket socket) { add(std::move(socket)); }) {
 }
 
 FrameServer::~FrameServer() {
   for (const auto& link : links_) link->close();
 }
 
-void FrameServer::accept() {
-  acceptor_.async_accept([this](const Error& error, tcp::socket socket) {
-    if (error == asio::error::operation_aborted) return;
-    if (!error) {
-      add(std::move(socket));
-      return accept();
-    }
-    pause_.expires_after(kAcceptPause);
-    pause_.async_wait([this](const Error& late) {
-      if (!late) accept();
-    });
-  });
-}
-
 void FrameServer::add(tcp::socket socket) {
   if (links_.size() >= most_) {
     links_.front()->close();
--- a/src/net/frames.hpp
+++ b/src/net/frames.hpp
@@ -17,6 +17,8 @@
 #include <string>
 #include <unordered_map>
 
+#include "net/acceptor.hpp"
+
 namespace lilacmux {
 
 struct Frame {
@@ -75,19 +77,17 @@
   ~FrameServer();
   FrameServer(const FrameServer&) = delete;
   FrameServer& operator=(const FrameServer&) = delete;
-  boost::asio::ip::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
+  boost::asio::ip::tcp::endpoint address() const { return acceptor_.address(); }
 
  private:
-  void accept();
   void add(boost::asio::ip::tcp::socket socket);
 
   const std::size_t most_;
   const Handler handler_;
   const Log log_;
-  boost::asio::ip::tcp::acceptor acceptor_;
-  boost::asio::steady_timer pause_;
   std::list<std::shared_ptr<Link>> links_;  // the oldest first
   bool toldOfRubbish_ = false;
+  burlwind::Acceptor acceptor_;
 };
 
 // Calls one peer over one connection, which comes up when it is needed. A call ends with the answer or, on
--- a/src/node/gatekeeper.cpp
+++ b/src/node/gatekeeper.cpp
@@ -6,6 +6,7 @@
 #include <cstdio>
 #include <sstream>
 
+#include "node/held_steps.hpp"
 #include "node/knowledge_file.hpp"
 
 namespace burlwind {
@@ -396,21 +397,9 @@
   gateway_.outcome(clock_.now(), outcome);
 }
 
-// A large answer has begun to come: it is the request's answer, and nothing else ends the request any more
-// but its end or its client's.
-bool Gatekeeper::begun(RequestId id, const AnswerHead& head) {
-  const auto found = held_.find(id);
-  if (found == held_.end()) return false;
-  found->second.streams = true;
-  found->second.deadline.cancel();
-  found->second.asker->begin(head);
-  return true;
-}
+bool Gatekeeper::begun(RequestId id, const AnswerHead& head) { return beginStream(held_, id, head); }
 
-void Gatekeeper::piece(RequestId id, std::string&& bytes) {
-  const auto found = held_.find(id);
-  if (found != held_.end()) found->second.asker->piece(std::move(bytes));
-}
+void Gatekeeper::piece(RequestId id, std::string&& bytes) { passPiece(held_, id, std::move(bytes)); }
 
 void Gatekeeper::endStream(RequestId id, bool whole) {
   const auto found = held_.find(id);
@@ -466,7 +455,8 @@
   if (found == held_.end()) return;
   Held& held = found->second;
   const Time left = held.expires - clock_.now();
-  if (left <= 0) return reportMoot(id, held.attempts++, worker);
+  if (left <= 0)
+    return reportMoot(io_, id, held.attempts++, worker, [this](AttemptEnd&& end) { ended(std::move(end)); });
   const bool early = timeout > 0 && timeout < left;
   const Time wait = early ? timeout : left;
   if (!held.body) prepare(held.message, held.head, held.body);
@@ -477,16 +467,6 @@
               early ? std::optional(span(timeout)) : std::nullopt);
 }
 
-// No time is left for the attempt: nothing is sent, and the module learns so from a handler of its own.
-void Gatekeeper::reportMoot(RequestId id, unsigned attempt, WorkerId worker) {
-  AttemptEnd end;
-  end.outcome.id = id;
-  end.outcome.attempt = attempt;
-  end.outcome.worker = worker;
-  end.outcome.result = Result::moot;
-  asio::post(io_, [this, end = std::move(end)]() mutable { ended(std::move(end)); });
-}
-
 void Gatekeeper::refuse(RequestId id, Time retryAfter) {
   Answer refusal;
   refusal.status = http::status::too_many_requests;
--- a/src/node/gatekeeper.hpp
+++ b/src/node/gatekeeper.hpp
@@ -123,7 +123,6 @@
   void ended(AttemptEnd&& end);
   void expire(irisring::RequestId id);
   void giveUpAll();
-  void reportMoot(irisring::RequestId id, unsigned attempt, irisring::WorkerId worker);
   void answer(irisring::RequestId id, Answer&& answer);
   void endStream(irisring::RequestId id, bool whole);
   void release(std::unordered_map<irisring::RequestId, Held>::iterator held);
--- /dev/null
+++ b/src/node/held_steps.hpp
@@ -0,0 +1,46 @@
+// What every holder of requests does alike with the answers that stream and with tries that have no time
+// left. `HeldMap` goes by request; what it holds has `streams`, `deadline` and `asker`.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <string>
+#include <utility>
+
+#include "node/call.hpp"
+#include "node/worker_pool.hpp"
+
+namespace burlwind {
+
+// A large answer has begun to come: it is the request's answer, and nothing else ends the request any more
+// but its end or its client's. False: nobody wants it.
+template <class HeldMap>
+bool beginStream(HeldMap& held, irisring::RequestId id, const AnswerHead& head) {
+  const auto found = held.find(id);
+  if (found == held.end()) return false;
+  found->second.streams = true;
+  found->second.deadline.cancel();
+  found->second.asker->begin(head);
+  return true;
+}
+
+template <class HeldMap>
+void passPiece(HeldMap& held, irisring::RequestId id, std::string&& bytes) {
+  const auto found = held.find(id);
+  if (found != held.end()) found->second.asker->piece(std::move(bytes));
+}
+
+// No time is left for the attempt: nothing is sent, and the module learns so from a handler of its own.
+template <class Ended>
+void reportMoot(boost::asio::io_context& io, irisring::RequestId id, unsigned attempt,
+                irisring::WorkerId worker, Ended ended) {
+  AttemptEnd end;
+  end.outcome.id = id;
+  end.outcome.attempt = attempt;
+  end.outcome.worker = worker;
+  end.outcome.result = irisring::Result::moot;
+  boost::asio::post(io,
+                    [ended = std::move(ended), end = std::move(end)]() mutable { ended(std::move(end)); });
+}
+
+}  // namespace burlwind
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -30,8 +30,6 @@
 }
 
 json metaOf(const Durable& d) {
-  json prints = json::array();
-  for (const auto& [revision, print] : d.state.fingerprint) prints.push_back({revision, print});
   return {{"form", 1},
           {"members", d.record.members},
           {"leaving", d.record.leaving},
@@ -45,7 +43,7 @@
           {"forgotten", d.forgotten},
           {"sequence", d.state.sequence},
           {"revision", d.state.revision},
-          {"taken", prints},
+          {"taken", d.state.fingerprint},
           {"holders", d.state.holders}};
 }
 
@@ -64,8 +62,7 @@
   in.at("sequence").get_to(out.state.sequence);
   in.at("revision").get_to(out.state.revision);
   in.at("holders").get_to(out.state.holders);
-  for (const json& entry : in.at("taken"))
-    out.state.fingerprint[entry.at(0).get<std::uint64_t>()] = entry.at(1).get<std::uint64_t>();
+  in.at("taken").get_to(out.state.fingerprint);
   return out;
 }
 
--- a/tests/system/core_storm.hpp
+++ b/tests/system/core_storm.hpp
@@ -76,10 +76,8 @@
     world_.loss(storm_.loss);
     for (const Trouble& trouble : storm_.troubles) {
       pass(trouble.after);
-      if (storm_.hasty) {
-        begin(trouble);
-      } else {
-        begin(trouble);
+      begin(trouble);
+      if (!storm_.hasty) {
         pass(trouble.lasts + kStep);
         if (!rest()) fail("no rest after: " + describe(trouble));
       }
--- a/tests/system/replica_test.cpp
+++ b/tests/system/replica_test.cpp
@@ -85,7 +85,7 @@
   ASSERT_TRUE(world.propose());
   world.run(100);
   const NodeId leaves = *world.server();
-  world.at(leaves).resign(world.now());
+  world.at(leaves).resign();
   EXPECT_TRUE(world.settle(800));
   EXPECT_NE(world.server(), leaves);
 }
