Give an answer only to the request whose id it carries

Cause: after a stutter a server sends an answer once more, late, on a connection that has been given the next request; whatever came first was taken for that request's answer. Nothing compared the X-Attempt-Id that servers carry back.

Change: the head of each answer is held against the id of the try that is out. An earlier one's is read to its end and passed over, the right one behind it is taken, and the connection is then closed; an answer with no id or two is spoilt, and its request may have run. Tests: Answers.* (late, cut over reads, behind the answer, without id, without end).

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -516,6 +516,7 @@
 // Once for all attempts. What concerns only the client's connection stays behind, and so does the key.
 void Gateway::prepare(Held& held) {
   ClientMessage& message = held.message;
+  held.attempt = view(message["X-Attempt-Id"]);
   http::request<http::empty_body> out(message.method(), message.target(), 11);
   if (message.method() == http::verb::unknown) out.method_string(message.method_string());
   for (const auto& field : message) {
@@ -547,7 +548,7 @@
   if (held.further == Held::Further::paid) held.further = Held::Further::out;
   const bool early = timeout > 0 && timeout < left;
   if (!held.body) prepare(held);
-  burlwind::Message message{held.head, held.body, static_cast<unsigned>(held.route->type)};
+  burlwind::Message message{held.head, held.body, static_cast<unsigned>(held.route->type), held.attempt};
   message.head += "X-Expected-Instance: " + names_[server] + "\r\nX-Deadline-Remaining-Ms: " +
                   std::to_string(std::max(1L, std::lround(std::floor(left)))) + "\r\n\r\n";
   pool_.start(id, held.attempts++, server, std::move(message),
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -50,6 +50,7 @@
     std::shared_ptr<Lane> lane;
     unsigned kind = 0;
     burlwind::ClientMessage message;  // until the first attempt, which makes the next two of it
+    std::string attempt;              // its id, which each answer must carry back
     std::string head;                 // as it goes on, but for the server's and the deadline's fields
     std::shared_ptr<const std::string> body;
     std::shared_ptr<burlwind::Asker> asker;
--- a/src/gateway/server_answers.cpp
+++ b/src/gateway/server_answers.cpp
@@ -19,6 +19,13 @@
   return false;
 }
 
+burlwind::AnswerReader::Belongs ServerAnswers::belongs(const http::response_header<>& head,
+                                                       const std::string& id) const {
+  if (id.empty()) return Belongs::ours;
+  if (burlwind::countOf(head, "X-Attempt-Id") != 1) return Belongs::nobodys;
+  return burlwind::view(head["X-Attempt-Id"]) == id ? Belongs::ours : Belongs::anothers;
+}
+
 Result ServerAnswers::read(const http::response_header<>& head, irisring::Outcome&) const {
   const unsigned status = head.result_int();
   if (burlwind::countOf(head, "X-Not-Executed") > 0 || status == 421) return Result::full;
--- a/src/gateway/server_answers.hpp
+++ b/src/gateway/server_answers.hpp
@@ -8,6 +8,8 @@
 
 class ServerAnswers : public burlwind::AnswerReader {
  public:
+  // By the `X-Attempt-Id` that servers carry back. An answer without one, or with several, is nobody's.
+  Belongs belongs(const burlwind::http::response_header<>& head, const std::string& id) const override;
   irisring::Result read(const burlwind::http::response_header<>& head,
                         irisring::Outcome& outcome) const override;
   burlwind::http::fields fieldsOf(const burlwind::http::response_header<>& head) const override;
--- a/src/node/worker_pool.cpp
+++ b/src/node/worker_pool.cpp
@@ -17,7 +17,7 @@
 using irisring::WorkerId;
 using Clock = std::chrono::steady_clock;
 
-constexpr unsigned kMostInterim = 8;  // 1xx answers ahead of one
+constexpr unsigned kMostInterim = 8;  // 1xx answers, or surplus ones, ahead of one
 
 using AnswerBody = http::basic_dynamic_body<beast::flat_buffer>;
 
@@ -63,7 +63,7 @@
     out_ = std::move(message);
     written_ = false;
     busy_ = true;
-    streams_ = false;
+    streams_ = surplus_ = false;
     interim_ = 0;
     await();
     if (up_)
@@ -149,7 +149,7 @@
 
   // Ready for an answer.
   void await() {
-    answering_ = false;
+    answering_ = passing_ = false;
     parser_.emplace();
     // What is held is bounded as it comes; without a limit Beast 1.74 takes no told length at all.
     parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
@@ -231,10 +231,12 @@
       const bool head = feed(*parser_, in_, error, Feed::head);
       if (error || (head && !readable())) return end(Result::spoilt);
       if (head && parser_->get().result_int() < 200) return passOver();
+      if (head && !isOurs()) return end(Result::spoilt);
       if (head) verdict_ = pool_.reader_.read(parser_->get(), outcome_);
     }
     const bool done = feed(*parser_, in_, error);
     if (error) return end(streams_ ? Result::reset : Result::spoilt);
+    if (passing_) return passSurplus(done);
     if (streams_) return passOn();
     auto& body = parser_->get().body();
     // Nobody reads what stands in an answer that does not go on.
@@ -290,7 +292,22 @@
     return plainFraming(head) && head.result() != http::status::switching_protocols;
   }
 
-  // An interim answer; the one that counts is still to come.
+  // A worker may answer an earlier attempt once more, where the answer to this one is due. What it sends then
+  // goes to nobody, and this attempt's answer may still come behind it. False: nobody can tell whose this is.
+  bool isOurs() {
+    const auto whose = pool_.reader_.belongs(parser_->get(), out_.id);
+    passing_ = whose == AnswerReader::Belongs::anothers;
+    surplus_ = surplus_ || passing_;
+    return whose != AnswerReader::Belongs::nobodys && !(passing_ && parser_->need_eof());
+  }
+
+  void passSurplus(bool done) {
+    auto& body = parser_->get().body();
+    body.consume(body.size());
+    done ? passOver() : read();
+  }
+
+  // An interim answer, or a surplus one; the one that counts is still to come.
   void passOver() {
     if (++interim_ > kMostInterim) return end(Result::spoilt);
     await();
@@ -309,7 +326,7 @@
     whole.outcome = outcome_;
     if (pool_.reader_.goesOn(verdict_)) whole.head = headOf();
     // Kept only if the exchange was a whole and ordinary one: nothing of it is left on either side.
-    const bool good = !writing_ && !eof_ && in_.size() == 0 && answer.keep_alive();
+    const bool good = !writing_ && !eof_ && !surplus_ && in_.size() == 0 && answer.keep_alive();
     whole.body.assign(static_cast<const char*>(answer.body().data().data()), answer.body().size());
     busy_ = false;
     const auto self = shared_from_this();
@@ -349,6 +366,8 @@
   bool streams_ = false;    // and the client has its begin
   bool reading_ = false;
   bool eof_ = false;
+  bool passing_ = false;  // what comes answers an earlier attempt
+  bool surplus_ = false;  // and so nothing more goes out here
   bool closed_ = false;
 };
 
--- a/src/node/worker_pool.hpp
+++ b/src/node/worker_pool.hpp
@@ -30,6 +30,11 @@
 class AnswerReader {
  public:
   virtual ~AnswerReader() = default;
+  // Whose answer this is. `id`: what the attempt that is out gave to be carried back; empty: nothing.
+  enum class Belongs { ours, anothers, nobodys };
+  virtual Belongs belongs(const http::response_header<>&, const std::string& /*id*/) const {
+    return Belongs::ours;
+  }
   // By its head: what the answer says of the attempt. Fills in what else of the outcome the head tells.
   virtual irisring::Result read(const http::response_header<>& head, irisring::Outcome& outcome) const = 0;
   // The fields that go on to the client.
@@ -53,6 +58,7 @@
   std::string head;
   std::shared_ptr<const std::string> body;
   unsigned klass = 0;
+  std::string id{};  // which the answer must carry back; empty: none
 };
 
 class WorkerPool {
--- /dev/null
+++ b/tests/system/answers_test.cpp
@@ -0,0 +1,96 @@
+// An answer goes to the request whose id it carries, and to no other, however surplus ones come.
+#include "gateway/server_answers.hpp"
+#include "sides.hpp"
+
+namespace burlwind::test {
+namespace {
+
+using irisring::Result;
+
+class Answers : public Pool {
+ protected:
+  Answers() {
+    byId.emplace(io, WorkerPool::Limits{}, budget, figures, reader, static_cast<AnswerSink&>(*this),
+                 [this](AttemptEnd&& end) { ends.push_back(std::move(end)); });
+    byId->place(1, {worker.address(), 0});
+  }
+  // An attempt that gave this id, once it is at the server.
+  void ask(irisring::RequestId id, const std::string& carried) {
+    const std::size_t before = worker.count("\r\n\r\n");
+    byId->start(id, 0, 1, {"GET / HTTP/1.1\r\nX-Attempt-Id: " + carried + "\r\n\r\n", nullptr, 0, carried},
+                std::nullopt);
+    untilSeen(before + 1);
+  }
+  static std::string seal(const std::string& id, const std::string& body) {
+    return reply("200 OK", body, "X-Server-Seal: s\r\nX-Attempt-Id: " + id + "\r\n");
+  }
+
+  const lilacmux::ServerAnswers reader;
+  std::optional<WorkerPool> byId;
+};
+
+TEST_F(Answers, ALateSurplusAnswerIsPassedOverAndEndsItsConnection) {
+  ask(1, "a");
+  worker.peers.back()->send(seal("a", "first"));
+  untilEnds(1);
+  EXPECT_EQ(byId->connections(), 1u);
+  ask(2, "b");  // on the same connection
+  ASSERT_EQ(worker.peers.size(), 1u);
+  worker.peers.back()->send(seal("a", "first, once more") + seal("b", "second"));
+  untilEnds(2);
+  EXPECT_EQ(ends[1].outcome.result, Result::ok);
+  EXPECT_EQ(ends[1].body, "second");
+  EXPECT_EQ(byId->connections(), 0u) << "what sent a surplus answer is used no further";
+}
+
+// In one piece, or cut anywhere.
+TEST_F(Answers, ASurplusAnswerCutOverReadsIsPassedOverToo) {
+  const std::string surplus = seal("a", "once more"), mine = seal("b", "mine"), all = surplus + mine;
+  for (std::size_t cut : {std::size_t{5}, surplus.size() - 4, surplus.size(), surplus.size() + 9}) {
+    ends.clear();
+    ask(7, "b");
+    const auto peer = worker.peers.back();
+    peer->send(all.substr(0, cut));
+    io.restart();
+    io.poll();
+    peer->send(all.substr(cut));
+    untilEnds(1);
+    EXPECT_EQ(ends[0].outcome.result, Result::ok) << cut;
+    EXPECT_EQ(ends[0].body, "mine") << cut;
+  }
+}
+
+// Behind the answer in the same read, it never meets another request.
+TEST_F(Answers, ASecondAnswerBehindTheFirstEndsTheConnection) {
+  ask(1, "a");
+  worker.peers.back()->send(seal("a", "first") + seal("a", "first, once more"));
+  untilEnds(1);
+  EXPECT_EQ(ends[0].body, "first");
+  EXPECT_EQ(byId->connections(), 0u);
+}
+
+TEST_F(Answers, WhatCarriesNoIdOrTwoIsNobodysAndMayHaveRun) {
+  const std::string two = "X-Server-Seal: s\r\nX-Attempt-Id: a\r\nX-Attempt-Id: a\r\n";
+  for (const std::string& text :
+       {reply("200 OK", "whose", "X-Server-Seal: s\r\n"), reply("200 OK", "whose", two)}) {
+    ends.clear();
+    ask(1, "a");
+    worker.peers.back()->send(text);
+    untilEnds(1);
+    EXPECT_EQ(ends[0].outcome.result, Result::spoilt);
+    EXPECT_EQ(byId->connections(), 0u);
+  }
+}
+
+// A worker that goes on with surplus answers for ever is given up.
+TEST_F(Answers, SurplusWithoutEndIsGivenUp) {
+  ask(1, "b");
+  std::string many;
+  for (int i = 0; i < 20; ++i) many += seal("a", "once more");
+  worker.peers.back()->send(many);
+  untilEnds(1);
+  EXPECT_EQ(ends[0].outcome.result, Result::spoilt);
+}
+
+}  // namespace
+}  // namespace burlwind::test
--- a/tests/system/core_test.cpp
+++ b/tests/system/core_test.cpp
@@ -69,6 +69,7 @@
                       ++arrivals;
                       auto out = callReply(burlwind::http::status(status), "the server's bytes");
                       if (status == 200) out.set("X-Server-Seal", "seal");
+                      out.set("X-Attempt-Id", seen["X-Attempt-Id"]);
                       respond(std::move(out));
                     });
     for (std::size_t i = 0; i < addresses_.size(); ++i)
