Let the core bear two losses: as many backups as losses, twice as many members and one

Change: faultTolerance tells how many disks may go. A change counts once every backup has it; a record without any one backup's word commits nothing. The primary takes observers in until the members are twice the losses and one. Followers that have no list yet say place 0.

Tests: Replica.GrowsToFive..., ACoreOfFive..., Relays.ThatCameBeforeTheFirstListTellItOn.

--- a/src/agreement/messages.cpp
+++ b/src/agreement/messages.cpp
@@ -14,7 +14,7 @@
                                   "ask",   "vote", "sync",     "synced", "resign"};
 
 json recordOf(const Record& r) {
-  return json::array({r.epoch, r.previous, r.primary, r.backup, r.members, r.leaving});
+  return json::array({r.epoch, r.previous, r.primary, r.backups, r.members, r.leaving});
 }
 
 Record recordFrom(const json& in) {
@@ -22,7 +22,7 @@
   in.at(0).get_to(out.epoch);
   in.at(1).get_to(out.previous);
   in.at(2).get_to(out.primary);
-  in.at(3).get_to(out.backup);
+  in.at(3).get_to(out.backups);
   in.at(4).get_to(out.members);
   in.at(5).get_to(out.leaving);
   return out;
--- a/src/agreement/replica.cpp
+++ b/src/agreement/replica.cpp
@@ -23,6 +23,8 @@
 
 bool Record::has(const NodeId& node) const { return contains(members, node) || contains(leaving, node); }
 
+bool Record::isBackup(const NodeId& node) const { return contains(backups, node); }
+
 bool Record::decides(const std::set<NodeId>& nodes) const {
   return isMajority(members, nodes) && (leaving.empty() || isMajority(leaving, nodes));
 }
@@ -214,9 +216,11 @@
   peer.heardAt = now;
   peer.tookEpoch = std::max(peer.tookEpoch, message.epoch);
   if (message.epoch != durable_.record.epoch) return;
-  const bool lost = message.from == durable_.record.backup && message.dataEpoch < durable_.record.epoch &&
-                    now - syncAt_ >= timing_.resync;  // its disk, say
-  if ((!settled_ && syncAt_ < ledSince_) || lost) sendSync(now);
+  if (durable_.record.backups.empty() && !settled_) return sendSync(now);
+  if (!durable_.record.isBackup(message.from)) return;
+  const bool lost = message.dataEpoch < durable_.record.epoch;  // its disk, say
+  const bool due = peer.syncAt < ledSince_ || now - peer.syncAt >= timing_.resync;
+  if ((lost || !peer.kept) && due) sendSyncTo(now, message.from);
 }
 
 void Replica::onProbe(Millis now, const Message& message) {
@@ -271,12 +275,17 @@
   record.previous = record.epoch;
   record.epoch = won.epoch;
   record.primary = self_;
-  record.backup.clear();
+  // Who has the newest state is given what it lacks the soonest.
+  std::vector<std::pair<std::uint64_t, NodeId>> voters;
   for (const auto& [from, vote] : won.votes) {
     peers_[from].heardAt = now;
-    if (!contains(record.members, from)) continue;
-    if (record.backup.empty() || vote.dataEpoch > won.votes.at(record.backup).dataEpoch) record.backup = from;
+    if (contains(record.members, from)) voters.emplace_back(vote.dataEpoch, from);
   }
+  std::sort(voters.rbegin(), voters.rend());
+  record.backups.clear();
+  for (const auto& [dataEpoch, from] : voters)
+    if (record.backups.size() < timing_.losses) record.backups.push_back(from);
+  std::sort(record.backups.begin(), record.backups.end());
   lead(now, record);
 }
 
@@ -297,24 +306,25 @@
 }
 
 // Whether this node has all that was ever committed. A primary of the newest record that any majority knows
-// of has, and so has its backup once it was given the state in that epoch. Where that backup votes and says
-// that it never was, nothing was committed in that epoch, and the one before it counts; a backup that has
-// lost its disk since cannot say so.
+// of has, and so has each of its backups once it was given the state in that epoch. Where any of those
+// backups votes and says that it never was, nothing was committed in that epoch, and the one before it
+// counts; one that has lost its disk since cannot say so.
 bool Replica::eligible(const std::map<NodeId, Message>& votes, const Record& newest) const {
   if (newest.epoch == 0 || durable_.dataEpoch == newest.epoch) return true;
   const auto never = [&](std::uint64_t dataEpoch, std::uint64_t forgotten) {
     return dataEpoch < newest.epoch && forgotten < newest.epoch;
   };
-  const auto backup = votes.find(newest.backup);
-  const bool unused = backup != votes.end()
-                          ? never(backup->second.dataEpoch, backup->second.forgotten)
-                          : newest.backup == self_ && never(durable_.dataEpoch, durable_.forgotten);
+  const bool unused = std::any_of(newest.backups.begin(), newest.backups.end(), [&](const NodeId& backup) {
+    const auto vote = votes.find(backup);
+    return vote != votes.end() ? never(vote->second.dataEpoch, vote->second.forgotten)
+                               : backup == self_ && never(durable_.dataEpoch, durable_.forgotten);
+  });
   return unused && durable_.dataEpoch >= newest.previous;
 }
 
 void Replica::onSync(Millis now, const Message& message) {
   const Record& record = durable_.record;
-  if (!isMember() || message.epoch != record.epoch || record.backup != self_ ||
+  if (!isMember() || message.epoch != record.epoch || !record.isBackup(self_) ||
       record.primary != message.from || durable_.promised != record.epoch || !message.state)
     return;
   heardBeat_ = std::max(heardBeat_, now - timing_.beat);
@@ -328,8 +338,10 @@
 }
 
 void Replica::onSynced(Millis now, const Message& message) {
-  if (!primary_ || message.epoch != durable_.record.epoch || message.from != durable_.record.backup) return;
-  peers_[message.from].heardAt = now;
+  if (!primary_ || message.epoch != durable_.record.epoch || !durable_.record.isBackup(message.from)) return;
+  Peer& peer = peers_[message.from];
+  peer.heardAt = now;
+  peer.kept = message.sequence;
   if (message.sequence == durable_.state.sequence) settle(now);
 }
 
@@ -340,6 +352,8 @@
   for (const auto& [node, peer] : peers_)
     if (peer.tookEpoch == durable_.record.epoch) took.insert(node);
   if (!durable_.record.decides(took)) return;
+  for (const NodeId& backup : durable_.record.backups)
+    if (peers_[backup].kept != durable_.state.sequence) return;
   const bool news = !committed_ || committed_->sequence != durable_.state.sequence;
   if (!committed_) host_.log("primary in epoch " + epochText(durable_.record.epoch));
   settled_ = true;
@@ -377,7 +391,7 @@
   settled_ = false;
   leader_ = self_;
   ledSince_ = now;
-  syncAt_ = -1e18;
+  for (auto& [node, peer] : peers_) peer.syncAt = -1e18, peer.kept.reset();
   beatAt_ = -1e18;
   tickPrimary(now);
 }
@@ -402,17 +416,35 @@
     standAfter_ = now + timing_.stagger;
     return;
   }
-  const NodeId& backup = durable_.record.backup;
-  if (!settled_ && now - syncAt_ >= timing_.resync && (backup.empty() || peers_[backup].tookEpoch == epoch()))
-    sendSync(now);
-  if (replaceSilent(now)) return;
-  if (backup.empty() || now - heardAt(backup) < timing_.backupSilent) return;
-  const NodeId other = chooseBackup(now);
-  if (other.empty()) return;
-  host_.log("the backup is silent: " + other + " takes its place");
-  Record next = durable_.record;
-  next.backup = other;
-  renew(now, std::move(next));
+  if (!settled_) sendSync(now);
+  if (changeMembers(now)) return;
+  replaceSilentBackups(now);
+}
+
+// Another member takes a silent backup's place, as far as there is one.
+bool Replica::replaceSilentBackups(Millis now) {
+  const Record& record = durable_.record;
+  std::vector<NodeId> heard;
+  for (const NodeId& backup : record.backups)
+    if (now - heardAt(backup) < timing_.backupSilent) heard.push_back(backup);
+  const std::size_t wanted = std::min<std::size_t>(timing_.losses, record.members.size() - 1);
+  const bool grows = settled_ && record.leaving.empty() && record.backups.size() < wanted;
+  if (heard.size() == record.backups.size() && !grows) return false;
+  const auto next = chooseBackups(now, heard);
+  // Who is silent is lost already: so many fewer disks need to be there for those that may still be.
+  const auto silent = static_cast<unsigned>(
+      std::count_if(record.members.begin(), record.members.end(), [&](const NodeId& member) {
+        return member != self_ && now - heardAt(member) >= timing_.backupSilent;
+      }));
+  const unsigned needed = std::max(1u, timing_.losses - std::min(timing_.losses, silent));
+  if (next == record.backups || next.size() < std::min<std::size_t>(needed, record.backups.size()))
+    return false;
+  for (const NodeId& backup : next)
+    if (!record.isBackup(backup)) host_.log(backup + " becomes a backup");
+  Record other = record;
+  other.backups = next;
+  renew(now, std::move(other));
+  return true;
 }
 
 Millis Replica::heardAt(const NodeId& node) const {
@@ -421,38 +453,49 @@
 }
 
 // One at a time, and only while the record before it holds. The one that comes in has this epoch's record
-// already: it is there, and has listened for long enough to have forgotten nothing.
-bool Replica::replaceSilent(Millis now) {
+// already: it is there, and has listened for long enough to have forgotten nothing. It fills a place that is
+// empty, or that of a member that is silent.
+bool Replica::changeMembers(Millis now) {
   const Record& record = durable_.record;
   if (!settled_ || !record.leaving.empty()) return false;
-  const auto silent = std::find_if(record.members.begin(), record.members.end(), [&](const NodeId& member) {
-    return member != self_ && member != record.backup && now - heardAt(member) >= timing_.replaceAfter;
-  });
-  if (silent == record.members.end()) return false;
   const auto comes = std::find_if(observers_.begin(), observers_.end(), [&](const auto& observer) {
     const auto peer = peers_.find(observer.first);
     return !record.has(observer.first) && peer != peers_.end() && now - peer->second.heardAt < kAliveWithin &&
            peer->second.tookEpoch == record.epoch;
   });
   if (comes == observers_.end()) return false;
-  host_.log(comes->first + " takes the place of " + *silent + ", which is silent");
+  const auto silent = std::find_if(record.members.begin(), record.members.end(), [&](const NodeId& member) {
+    return member != self_ && !record.isBackup(member) && now - heardAt(member) >= timing_.replaceAfter;
+  });
   Record next = record;
   next.leaving = record.members;
-  next.members[static_cast<std::size_t>(silent - record.members.begin())] = comes->first;
+  if (silent != record.members.end()) {
+    host_.log(comes->first + " takes the place of " + *silent + ", which is silent");
+    next.members[static_cast<std::size_t>(silent - record.members.begin())] = comes->first;
+  } else if (record.members.size() < 2 * timing_.losses + 1) {
+    host_.log(comes->first + " becomes a member");
+    next.members.push_back(comes->first);
+  } else {
+    return false;
+  }
   std::sort(next.members.begin(), next.members.end());
   renew(now, std::move(next));
   return true;
 }
 
-NodeId Replica::chooseBackup(Millis now) const {
-  NodeId best;
-  Millis heard = now - kAliveWithin;
+// These and, as far as they are too few, those of the other members that were heard last.
+std::vector<NodeId> Replica::chooseBackups(Millis now, std::vector<NodeId> kept) const {
+  std::vector<std::pair<Millis, NodeId>> others;
   for (const NodeId& member : durable_.record.members) {
     const auto peer = peers_.find(member);
-    if (member == self_ || member == durable_.record.backup || peer == peers_.end()) continue;
-    if (peer->second.heardAt > heard) best = member, heard = peer->second.heardAt;
+    if (member == self_ || durable_.record.isBackup(member) || peer == peers_.end()) continue;
+    if (now - peer->second.heardAt < kAliveWithin) others.emplace_back(peer->second.heardAt, member);
   }
-  return best;
+  std::sort(others.rbegin(), others.rend());
+  for (const auto& [heard, member] : others)
+    if (kept.size() < timing_.losses) kept.push_back(member);
+  std::sort(kept.begin(), kept.end());
+  return kept;
 }
 
 void Replica::propose(Millis now, const State& next) {
@@ -464,12 +507,24 @@
   sendSync(now);
 }
 
+// To each backup that has the record and not the state, and not again at once.
 void Replica::sendSync(Millis now) {
-  syncAt_ = now;
-  if (durable_.record.backup.empty()) return settle(now);  // a core of one
+  if (durable_.record.backups.empty()) return settle(now);  // a core of one
+  for (const NodeId& backup : durable_.record.backups) {
+    const Peer& peer = peers_[backup];
+    if (peer.tookEpoch != epoch() || peer.kept == durable_.state.sequence) continue;
+    const bool news = peer.kept.has_value();  // it had all until this change
+    if (news || now - peer.syncAt >= timing_.resync) sendSyncTo(now, backup);
+  }
+}
+
+void Replica::sendSyncTo(Millis now, const NodeId& backup) {
+  Peer& peer = peers_[backup];
+  peer.syncAt = now;
+  peer.kept.reset();
   Message sync = make(Message::Kind::sync);
   sync.state = durable_.state;
-  host_.send(durable_.record.backup, sync);
+  host_.send(backup, sync);
 }
 
 void Replica::stepDown(const std::string& why) {
--- a/src/agreement/replica.hpp
+++ b/src/agreement/replica.hpp
@@ -4,10 +4,12 @@
 //
 // The first members are the core machines that were told at the first start. Each keeps, on disk, the newest
 // epoch that it has promised and the newest record that it has taken; a record names one epoch's primary,
-// backup and members. The primary writes a change to its disk and to the backup's before it counts; the other
-// members are witnesses, which keep order and epochs only. A majority of members decides on a record. A
-// member that has heard from its primary helps nobody else for `lease` ms; the primary acts only for as long
-// as a majority owes it that, so that there are never two that act.
+// backups and members. The primary writes a change to its disk and to each backup's before it counts; the
+// other members are witnesses, which keep order and epochs only. For `losses` disks that may be lost at once
+// there are that many backups, and twice as many members and one; the primary takes nodes in until there are.
+// A majority of members decides on a record. A member that has heard from its primary helps nobody else for
+// `lease` ms; the primary acts only for as long as a majority owes it that, so that there are never two that
+// act.
 //
 // An epoch is a round and a place in it: a vote opens a round, and what its winner changes later (its backup,
 // the members) takes the next place in it without a vote. So no two primaries ever name the same epoch, and
@@ -45,11 +47,13 @@
 struct Record {
   std::uint64_t epoch = 0;
   std::uint64_t previous = 0;  // the epoch whose state its primary started from
-  NodeId primary, backup;
+  NodeId primary;
+  std::vector<NodeId> backups;  // sorted
   std::vector<NodeId> members;  // sorted; empty: not known yet
   std::vector<NodeId> leaving;  // sorted: the members before, while a change of them is on its way
 
   bool has(const NodeId& node) const;  // as a member, a leaving one included
+  bool isBackup(const NodeId& node) const;
   // Whether these nodes decide: a majority of the members and, during a change, of those before.
   bool decides(const std::set<NodeId>& nodes) const;
 };
@@ -100,6 +104,7 @@
     Millis listenFirst = 2000;  // an empty disk: only listens for so long, and takes a record before it votes
     Millis replaceAfter = 2500;  // of silence another node takes a member's place
     Millis resync = 400;
+    unsigned losses = 1;      // disks lost at once that it is to bear
     Millis standAgain = 500;  // of a primary, for members that have promised another round in vain
   };
 
@@ -134,6 +139,9 @@
     Millis ackedSentAt = -1e18;  // when the newest beat was sent that it took in this primacy
     Millis heardAt = -1e18;
     std::uint64_t tookEpoch = 0;
+    // Under this record: when it was sent the state last, and the newest change that it has kept.
+    Millis syncAt = -1e18;
+    std::optional<std::uint64_t> kept;
   };
   struct Ballot {
     bool asked = false;  // else it only probes who would vote
@@ -171,12 +179,14 @@
   std::uint64_t nextRound() const;
   void lead(Millis now, const Record& record);
   void sendSync(Millis now);
+  void sendSyncTo(Millis now, const NodeId& backup);
   void settle(Millis now);
   void win(Millis now);
   void stepDown(const std::string& why);
-  NodeId chooseBackup(Millis now) const;
+  std::vector<NodeId> chooseBackups(Millis now, std::vector<NodeId> kept) const;
   void renew(Millis now, Record next);
-  bool replaceSilent(Millis now);
+  bool changeMembers(Millis now);
+  bool replaceSilentBackups(Millis now);
   Millis heardAt(const NodeId& node) const;
 
   const NodeId self_;
@@ -205,7 +215,7 @@
   std::map<NodeId, Millis> observers_;  // when they last said hello
   std::vector<NodeId> contacts_;        // members of the newest record that others have told of
   std::uint64_t contactsEpoch_ = 0;
-  Millis beatAt_ = -1e18, syncAt_ = -1e18;
+  Millis beatAt_ = -1e18;
   Millis ledSince_ = 0, electedAt_ = 0;  // under this record; at all
 };
 
--- a/src/agreement/store.cpp
+++ b/src/agreement/store.cpp
@@ -38,7 +38,7 @@
           {"epoch", d.record.epoch},
           {"previous", d.record.previous},
           {"primary", d.record.primary},
-          {"backup", d.record.backup},
+          {"backups", d.record.backups},
           {"dataEpoch", d.dataEpoch},
           {"forgotten", d.forgotten},
           {"sequence", d.state.sequence},
@@ -56,7 +56,10 @@
   in.at("epoch").get_to(out.record.epoch);
   in.at("previous").get_to(out.record.previous);
   in.at("primary").get_to(out.record.primary);
-  in.at("backup").get_to(out.record.backup);
+  if (in.contains("backups"))
+    in.at("backups").get_to(out.record.backups);
+  else if (const std::string one = in.at("backup"); !one.empty())  // as it was kept before there were several
+    out.record.backups = {one};
   in.at("dataEpoch").get_to(out.dataEpoch);
   out.forgotten = in.value("forgotten", std::uint64_t{0});
   in.at("sequence").get_to(out.state.sequence);
--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -45,8 +45,6 @@
 const NodeSettings& checked(const NodeSettings& settings) {
   if (!settings.controlPlane)
     throw SettingsError("listeners.controlPlane: is missing, the control role needs it");
-  if (!settings.dataDirectory)
-    throw SettingsError("dataDirectory: is missing, the control role needs a disk");
   if (settings.seeds.empty()) throw SettingsError("seedNodes: is empty");
   return settings;
 }
@@ -57,6 +55,12 @@
   return XXH3_64bits_withSeed(name.data(), name.size(), static_cast<std::uint64_t>(at)) & 0x3fffffff;
 }
 
+Replica::Timing timingOf(const NodeSettings& settings) {
+  Replica::Timing out;
+  out.losses = settings.machineFailures;
+  return out;
+}
+
 CallReply refusal(http::status status, const std::string& why, const char* retryAfter = nullptr) {
   CallReply out = callReply(status, why + "\n");
   if (retryAfter) out.set(http::field::retry_after, retryAfter);
@@ -73,9 +77,8 @@
       relay_(settings.name, {self_, settings.zone}, lifeOf(settings.name), now()),
       tick_(io),
       leave_(io) {
-  begin(settings_.bootstrap);
-  if (replica_->members().size() == 1)
-    log_("the core has one member: what is acknowledged is on one disk alone");
+  if (settings_.dataDirectory) begin(settings_.bootstrap);
+  if (!replica_) log_("no disk: keeps nothing, and shows operators the way to those that do");
   frames_.emplace(
       io_, Endpoint(boost::asio::ip::make_address(settings_.address), controlPort(settings_)), kLinks,
       [this](Frame&& frame, const FrameServer::Reply& reply) { framed(std::move(frame), reply); }, log_);
@@ -87,12 +90,7 @@
                  [this](Call&& call, const Respond& respond) { called(std::move(call), respond); });
   std::vector<Endpoint> others;
   for (const NodeId& node : internal(settings_)) others.push_back(parseAddress(node, "seedNodes"));
-  follower_ = std::make_unique<Follower>(
-      io_, others,
-      Follower::Host{
-          [this](bool whole, bool urgent) { return relay_.asks(now(), whole, urgent); },
-          [this](const FollowAnswer& answer, double sentAt) { relay_.news(now(), answer, sentAt); },
-          [this] { relay_.lost(); }, log_});
+  follower_ = std::make_unique<Follower>(io_, others, replica_ ? relaysHost() : onlookersHost());
   tick();
 }
 
@@ -100,6 +98,38 @@
 
 Millis ControlNode::now() const { return steadyMs(); }
 
+Follower::Host ControlNode::relaysHost() {
+  return {[this](bool whole, bool urgent) { return relay_.asks(now(), whole, urgent); },
+          [this](const FollowAnswer& answer, double sentAt) { relay_.news(now(), answer, sentAt); },
+          [this] { relay_.lost(); }, log_};
+}
+
+// One without a disk asks a relay for nothing but which relays there are.
+Follower::Host ControlNode::onlookersHost() {
+  return {[this](bool whole, bool) {
+            FollowCall out;
+            out.name = settings_.name + "/control";
+            out.zone = settings_.zone;
+            out.whole = whole;
+            out.epoch = seen_.epoch, out.place = seen_.news.place, out.revision = seen_.news.revision;
+            out.relays = whole ? 0 : seen_.relaysAre;
+            return out;
+          },
+          [this](const FollowAnswer& answer, double) {
+            seen_.epoch = answer.epoch;
+            seen_.news.place = answer.news.place;
+            seen_.news.revision = answer.news.revision;
+            if (answer.relays.empty()) return;
+            seen_.relaysAre = answer.relaysAre;
+            seen_.relays = answer.relays;
+            std::vector<Endpoint> best;
+            for (const RelayPlace& relay : seen_.relays)
+              best.push_back(parseAddress(relay.address, "relays"));
+            follower_->prefer(std::move(best));
+          },
+          [] {}, log_};
+}
+
 void ControlNode::reload(const NodeSettings& settings) {
   const bool moved = settings.platform != settings_.platform;
   settings_.platform = settings.platform;
@@ -110,7 +140,7 @@
 
 void ControlNode::drain(std::function<void()> done) {
   leaving_ = true;
-  replica_->resign();
+  if (replica_) replica_->resign();
   leave_.expires_after(kLeaveAfter);
   leave_.async_wait([done = std::move(done)](const boost::system::error_code&) { done(); });
 }
@@ -120,7 +150,7 @@
   store_.emplace(Disk{*settings_.dataDirectory / "control", nullptr, nullptr}, log_);
   replica_ =
       std::make_unique<Replica>(self_, internal(settings_), bootstrap && !store_->wasSetAside(),
-                                store_->read(), Replica::Timing{}, now(), static_cast<ReplicaHost&>(*this));
+                                store_->read(), timingOf(settings_), now(), static_cast<ReplicaHost&>(*this));
 }
 
 // A disk that took no more bytes may take them again: the member starts anew from what it has kept, as after
@@ -137,6 +167,7 @@
 }
 
 void ControlNode::tick() {
+  if (!replica_) return;
   if (replica_->hasFailed()) recover();
   if (!leaving_) replica_->tick(now());
   pump();
@@ -224,12 +255,14 @@
   if (!replaces && !describes) return respond(refusal(http::status::not_found, "no such call"));
   if (call.method() != (replaces ? http::verb::post : http::verb::get))
     return respond(refusal(http::status::method_not_allowed, "the call's method is another"));
-  if (!replica_->mayServe(now())) return elsewhere(path, respond);
+  if (!replica_ || !replica_->mayServe(now())) return elsewhere(path, respond);
   replaces ? replace(std::move(call), respond) : describe(respond);
 }
 
 void ControlNode::elsewhere(const std::string& path, const Respond& respond) const {
-  const NodeId& leader = replica_->leader();
+  const NodeId leader = replica_               ? replica_->leader()
+                        : seen_.relays.empty() ? NodeId()
+                                               : seen_.relays.front().address;
   if (leader.empty() || leader == self_)
     return respond(refusal(http::status::service_unavailable, "no primary yet", "0.2"));
   const Endpoint at = parseAddress(leader, "leader");
@@ -246,6 +279,11 @@
 
 // For `lilacmux status`. Names and numbers alone: no key, and nothing of a body.
 void ControlNode::status(const Respond& respond) const {
+  if (!replica_) {
+    const nlohmann::json none = {
+        {"role", "control"}, {"node", settings_.name}, {"address", self_}, {"part", "without a disk"}};
+    return respond(callReply(http::status::ok, none.dump() + "\n", "application/json"));
+  }
   const Durable& kept = replica_->durable();
   nlohmann::json out = {{"role", "control"},
                         {"node", settings_.name},
@@ -253,13 +291,16 @@
                         {"part", replica_->hasFailed()         ? "silent: its disk takes nothing"
                                  : replica_->isPrimary()       ? "primary"
                                  : !replica_->isMember()       ? "observer"
-                                 : kept.record.backup == self_ ? "backup"
+                                 : kept.record.isBackup(self_) ? "backup"
                                                                : "witness"},
                         {"serves", replica_->mayServe(now())},
                         {"leader", replica_->leader()},
                         {"epoch", epochText(kept.record.epoch)},
                         {"members", kept.record.members},
                         {"leaving", kept.record.leaving},
+                        {"backups", kept.record.backups},
+                        {"bears", (std::max<std::size_t>(1, kept.record.members.size()) - 1) / 2},
+                        {"toBear", settings_.machineFailures},
                         {"revision", kept.state.revision}};
   if (lead_) {
     out["changes"] = {{"place", lead_->place()}, {"revision", lead_->revision()}};
@@ -327,6 +368,7 @@
 // -------------------------------------------------------------------------------------
 
 void ControlNode::framed(Frame&& frame, const FrameServer::Reply& reply) {
+  if (!replica_) return reply(toFrame(FollowAnswer{}));
   if (const auto call = followCallOf(frame))
     return reply(toFrame(call->address.empty() ? relayed(*call) : feed(*call)));
   const auto message = messageOf(std::move(frame));
--- a/src/control/node.hpp
+++ b/src/control/node.hpp
@@ -69,6 +69,8 @@
   FollowAnswer feed(const FollowCall& call);
   FollowAnswer relayed(const FollowCall& call);
   void lead(const State& state);
+  Follower::Host relaysHost();
+  Follower::Host onlookersHost();
   void watchPlatform();
   Millis now() const;
 
@@ -79,11 +81,12 @@
   std::optional<Store> store_;
   Millis recoverAt_ = 0;
   std::map<NodeId, std::unique_ptr<FrameClient>> peers_;
-  std::unique_ptr<Replica> replica_;
+  std::unique_ptr<Replica> replica_;      // none without a disk
   std::unique_ptr<Primary> lead_;         // while primary
   std::unique_ptr<PlatformWatch> watch_;  // while primary
   Relay relay_;
   std::unique_ptr<Follower> follower_;  // the relay's, of the primary
+  FollowAnswer seen_;                   // without a disk: which relays there are, and how far it was told
   std::deque<Change> waiting_;
   std::optional<Change> current_;  // proposed
   std::set<std::string> joining_;  // relays to be named as holders of shares
--- a/src/fleet/change_log.hpp
+++ b/src/fleet/change_log.hpp
@@ -41,7 +41,7 @@
   void configuration(std::uint64_t revision, std::shared_ptr<const std::string> body);
 
   std::uint64_t epoch() const { return epoch_; }
-  std::uint64_t place() const { return place_; }
+  std::uint64_t place() const { return listed_ ? place_ : 0; }
   std::uint64_t revision() const { return revision_; }
 
   struct News {
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -139,6 +139,7 @@
   out.descriptors = count(limits, "maxFileDescriptors", out.descriptors, 300);
   if (find(root, "dataDirectory")) out.dataDirectory = text(root, "dataDirectory");
   readBounds(root, out.bounds);
+  out.machineFailures = std::max(1u, count(part(root, "faultTolerance"), "machineFailures", 1, 0));
   const json& platform = part(root, "platformApi");
   if (find(platform, "address"))
     out.platform = parseAddress(text(platform, "address"), "platformApi.address");
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -43,6 +43,7 @@
   unsigned descriptors = 1024;
   std::optional<std::filesystem::path> dataDirectory;
   Bounds bounds;
+  unsigned machineFailures = 1;  // machines with a disk that may be lost at once
   std::optional<Endpoint> platform;
   double platformRatePerS = 1;
 };
--- a/tests/system/core_storm.hpp
+++ b/tests/system/core_storm.hpp
@@ -64,7 +64,7 @@
  public:
   explicit StormPlay(const Storm& storm)
       : storm_(storm),
-        world_(storm.seed, storm.members, 1 + storm.troubles.size()),
+        world_(storm.seed, storm.members, 1 + storm.troubles.size(), timingOf(storm)),
         started_(storm.members) {}
 
   void trace(std::function<void(const std::string&)> line) { world_.trace = std::move(line); }
@@ -90,6 +90,11 @@
   }
 
  private:
+  static Replica::Timing timingOf(const Storm& storm) {
+    Replica::Timing out;
+    out.losses = static_cast<unsigned>(storm.members / 2);
+    return out;
+  }
   static constexpr Millis kStep = 100;
   void fail(const std::string& what) { failures_.push_back(what); }
   void later(Millis span, std::function<void()> what) { ends_.emplace(world_.now() + span, std::move(what)); }
@@ -111,6 +116,7 @@
     const Replica& primary = world_.at(*serves);
     const auto& members = primary.members();
     return primary.durable().record.leaving.empty() &&
+           primary.durable().record.backups.size() >= storm_.members / 2 &&
            std::all_of(members.begin(), members.end(), [&](const NodeId& member) {
              return world_.runs(member) && world_.at(member).epoch() == primary.epoch();
            });
--- a/tests/system/core_world.hpp
+++ b/tests/system/core_world.hpp
@@ -150,9 +150,10 @@
   static std::string stateOf(const Durable& d) {
     const Record& r = d.record;
     return "keeps promise " + epochText(d.promised) + " to " + d.promisedTo + ", record " +
-           epochText(r.epoch) + " after " + epochText(r.previous) + " " + r.primary + "/" + r.backup +
-           " of " + std::to_string(r.members.size()) + "+" + std::to_string(r.leaving.size()) + ", data " +
-           epochText(d.dataEpoch) + " revision " + std::to_string(d.state.revision);
+           epochText(r.epoch) + " after " + epochText(r.previous) + " " + r.primary + "/" +
+           (r.backups.empty() ? "" : r.backups.front()) + " of " + std::to_string(r.members.size()) + "+" +
+           std::to_string(r.leaving.size()) + ", data " + epochText(d.dataEpoch) + " revision " +
+           std::to_string(d.state.revision);
   }
   void tell(const NodeId& who, const std::string& what) const {
     if (trace) trace(std::to_string(static_cast<long>(now_)) + " " + who + " " + what);
--- a/tests/system/fleet_test.cpp
+++ b/tests/system/fleet_test.cpp
@@ -97,6 +97,17 @@
   EXPECT_EQ(relay.follow(900, call).epoch, 0u) << "what an older primary says renews nothing";
 }
 
+// A relay that came before the primary had read its first list gets it whole, and tells it on.
+TEST(Relays, ThatCameBeforeTheFirstListTellItOn) {
+  ChangeLog primary(9), relay;
+  relay.follow(9, primary.since(0, 0, 0));
+  EXPECT_EQ(relay.place(), 0u);
+  primary.servers({{"a", "s", "10.0.0.1:80", "z", 3, false, 0}});
+  relay.follow(9, primary.since(9, relay.place(), 0));
+  EXPECT_EQ(relay.since(8, 40, 0).set.size(), 1u) << "for one that followed another primary before";
+  EXPECT_TRUE(relay.since(8, 40, 0).snapshot);
+}
+
 // A follower that was told more by another relay is not taken back.
 TEST(Relays, TellNothingOlderThanTheFollowerHas) {
   ChangeLog primary(9);
--- a/tests/system/replica_test.cpp
+++ b/tests/system/replica_test.cpp
@@ -94,7 +94,7 @@
   CoreWorld world(4);
   world.startAll();
   ASSERT_TRUE(world.settle(3000));
-  const NodeId primary = *world.server(), backup = world.at(primary).durable().record.backup;
+  const NodeId primary = *world.server(), backup = world.at(primary).durable().record.backups.front();
   world.kill(backup);
   ASSERT_TRUE(world.propose());
   world.run(2000);  // seen, replaced, given the state
@@ -216,7 +216,7 @@
   CoreWorld world(12);
   world.startAll();
   ASSERT_TRUE(world.settle(3000));
-  const NodeId primary = *world.server(), backup = world.at(primary).durable().record.backup;
+  const NodeId primary = *world.server(), backup = world.at(primary).durable().record.backups.front();
   NodeId witness;
   for (const NodeId& name : world.names())
     if (name != primary && name != backup) witness = name;
@@ -258,6 +258,56 @@
 
 // One loss at a time, at any moment, with lossy links and changes all along: never two that serve, never old
 // state, and rest within seconds once the trouble is over.
+// Told of three, a core that is to bear two losses takes two more in, and keeps each change on three disks.
+TEST(Replica, GrowsToFiveMembersAndBearsTwoWipedDisksWhileTheOthersLosePower) {
+  Replica::Timing timing;
+  timing.losses = 2;
+  for (std::uint64_t seed = 0; seed < 12; ++seed) {
+    CoreWorld world(seed, 3, 3, timing);
+    world.startAll();
+    for (std::size_t i = 3; i < 6; ++i) world.start(world.names()[i], false);
+    ASSERT_TRUE(world.settle(4000));
+    world.run(8000);
+    const auto primary = world.server();
+    ASSERT_TRUE(primary);
+    const Record record = world.at(*primary).durable().record;
+    EXPECT_EQ(record.members.size(), 5u) << "seed " << seed;
+    ASSERT_EQ(record.backups.size(), 2u);
+    ASSERT_TRUE(world.propose());
+    while (world.acknowledged == 0) world.run(5);
+    // The primary and one backup lose their disks at that very moment.
+    for (const NodeId& name : world.names()) world.kill(name);
+    world.wipe(*primary);
+    world.wipe(record.backups[seed % 2]);
+    for (const NodeId& name : world.names()) world.start(name, false);
+    EXPECT_TRUE(world.settle(15000)) << "seed " << seed;
+    EXPECT_EQ(world.at(*world.server()).committed().revision, world.acknowledged);
+    EXPECT_TRUE(world.violations.empty()) << world.violations.front();
+  }
+}
+
+// Two members gone, the three that are left go on.
+TEST(Replica, ACoreOfFiveGoesOnWithTwoGone) {
+  Replica::Timing timing;
+  timing.losses = 2;
+  CoreWorld world(5, 5, 0, timing);
+  world.startAll();
+  ASSERT_TRUE(world.settle(4000));
+  world.run(3000);
+  const NodeId primary = *world.server();
+  const NodeId backup = world.at(primary).durable().record.backups.front();
+  ASSERT_TRUE(world.propose());
+  world.run(500);
+  world.kill(primary);
+  world.kill(backup);
+  EXPECT_TRUE(world.settle(6000));
+  ASSERT_TRUE(world.propose());
+  const auto before = world.acknowledged;
+  world.run(2000);
+  EXPECT_GT(world.acknowledged, before);
+  EXPECT_TRUE(world.violations.empty());
+}
+
 TEST(Replica, BearsOneLossAtATimeWhenever) {
   for (std::uint64_t seed = 0; seed < 60; ++seed) {
     CoreWorld world(seed);
--- a/tests/system/store_test.cpp
+++ b/tests/system/store_test.cpp
@@ -21,7 +21,7 @@
     Durable out;
     out.promised = number;
     out.promisedTo = "a";
-    out.record = {number, number - 1, "a", "b", {"a", "b"}, {"b", "c"}};
+    out.record = {number, number - 1, "a", std::vector<NodeId>{"b"}, {"a", "b"}, {"b", "c"}};
     out.dataEpoch = number;
     std::string body(bytes, '\0');
     body += std::to_string(number);
