--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -179,6 +179,7 @@
   fleet->add_option("--seed", plan.seed)->capture_default_str();
   fleet->add_option("--cut-relay-at", plan.cutRelayAtS, "s; 0: never")->capture_default_str();
   fleet->add_option("--new-primary-at", plan.newPrimaryAtS, "s; 0: never")->capture_default_str();
+  fleet->add_option("--primary-gap", plan.primaryGapS, "s without one before that")->capture_default_str();
   try {
     app.parse(count, words);
   } catch (const CLI::ParseError& error) {
--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -392,9 +392,10 @@
     if (replica_->leader() != self_) out.leader = replica_->leader();
     return out;
   }
-  const bool named = replica_->committed().holders.contains(call.name);
+  const std::string plain = plainName(call.name);
+  const bool named = replica_->committed().holders.contains(plain);
   if (!named) {
-    joining_.insert(call.name);
+    joining_.insert(plain);
     boost::asio::post(io_, [this] { pump(); });
   }
   lead_->feed(now(), call, named, out);
--- a/src/experiment/fleet.hpp
+++ b/src/experiment/fleet.hpp
@@ -21,6 +21,7 @@
   double oneWayMs = 0.9, nearMs = 0.2;
   double cutRelayAtS = 0;    // not 0: one relay is cut off from then on
   double newPrimaryAtS = 0;  // not 0: another takes the primary's place then
+  double primaryGapS = 0;    // before that there is none, and its own relay is gone with it
 };
 
 struct FleetFigures {
--- a/src/fleet/follower.cpp
+++ b/src/fleet/follower.cpp
@@ -89,13 +89,14 @@
 
 void Follower::poll() {
   waits_ = false;
-  const bool urgent = std::exchange(urgent_, false) && known_;
+  const bool urgent = std::exchange(urgent_, false) && known_ && Clock::now() < fullAt_;
   if (!preferred_.empty() && at_ != 0 && Clock::now() >= backAt_) {
     at_ = 0;
     go(preferred_.front());
   }
   if (!client_) return again(kEvery);
   askedAt_ = Clock::now();
+  if (!urgent) fullAt_ = askedAt_ + kEvery;
   const Millis sentAt = steadyMs();
   client_->call(toFrame(host_.asks(!known_, urgent)), kAnswerWithin,
                 [this, sentAt](std::optional<Frame> frame) { answered(std::move(frame), sentAt); });
@@ -131,7 +132,7 @@
   known_ = answer->known;
   add({client_->peer()});
   waits_ = true;
-  again(known_ ? kEvery : 0ms);
+  again(known_ ? until(fullAt_) : 0ms);
   host_.news(*answer, sentAt);
 }
 
--- a/src/fleet/follower.hpp
+++ b/src/fleet/follower.hpp
@@ -56,6 +56,8 @@
   bool waits_ = false;  // for its time to ask, which may be brought forward
   bool urgent_ = false;
   std::chrono::steady_clock::time_point askedAt_, dueAt_, backAt_;
+  std::chrono::steady_clock::time_point
+      fullAt_;  // when all that changed is to be told, however urgent others are
 };
 
 }  // namespace lilacmux
--- a/src/fleet/primary.cpp
+++ b/src/fleet/primary.cpp
@@ -46,6 +46,10 @@
   if (out.relaysAre != call.relays) out.relays = std::move(places);
   out.known = named;
   if (!named) return;
+  if (call.settled) {
+    shares_.settled(now, plainName(call.name));
+    if (retries_) retries_->settled(now, plainName(call.name));
+  }
   auto shares = shares_.turn(now, call.name, call.demands, call.whole);
   out.known = shares.known;
   out.grant = shares.grant;
--- a/src/fleet/relay.cpp
+++ b/src/fleet/relay.cpp
@@ -9,7 +9,12 @@
 namespace lilacmux {
 namespace {
 
-constexpr double kStale = 600;          // ms without the primary's word; longer: news and tokens come late
+// ms without the primary's word: a new one leads within 2 s mostly, and what drains must be told of within
+// four, with the way round over another relay.
+constexpr double kStale = 2000;
+// ms after a start within which gatekeepers have told it what they hold; whoever is cut off for longer goes
+// by a rate that is small against what is kept of the rule.
+constexpr double kSettledAfter = 1200;
 constexpr std::size_t kRelaysTold = 6;  // a gatekeeper needs a few of its zone and one elsewhere
 constexpr std::uint64_t kRetriesFrom = 1ULL << 31;
 
@@ -40,6 +45,7 @@
 Relay::Relay(std::string name, RelayPlace at, std::uint64_t life, Millis now)
     : name_(name.append("#").append(std::to_string(life))),
       at_(std::move(at)),
+      startedAt_(now),
       quotas_({}, gatekeeperTiming(), now, life << 32),
       retries_({}, gatekeeperTiming(), now, (life << 32) + kRetriesFrom) {}
 
@@ -71,6 +77,7 @@
   out.zone = at_.zone;
   out.address = at_.address;
   out.gatekeepers = gatekeepers(now);
+  out.settled = now - startedAt_ >= kSettledAfter;
   out.epoch = log_.epoch();
   out.place = log_.place();
   out.revision = log_.revision();
@@ -95,8 +102,8 @@
   }
   const Millis until = sentAt + ShareTiming{}.lease;
   if (answer.news.revision >= log_.revision()) heardAt_ = sentAt;
-  quotas_.heard(now, until);
-  retries_.heard(now, until);
+  quotas_.heard(now, sentAt, until);
+  retries_.heard(now, sentAt, until);
   for (const ShareGrant& grant : answer.grants) quotas_.take(now, grant, answer.grant);
   for (const ShareGrant& grant : answer.retries) retries_.take(now, grant, answer.retryGrant);
 }
--- a/src/fleet/relay.hpp
+++ b/src/fleet/relay.hpp
@@ -43,6 +43,7 @@
  private:
   const std::string name_;
   const RelayPlace at_;
+  const Millis startedAt_;
   ChangeLog log_;
   ShareRelay quotas_, retries_;
   RequestSums requests_;
--- a/src/fleet/wire.cpp
+++ b/src/fleet/wire.cpp
@@ -48,6 +48,8 @@
 
 }  // namespace
 
+std::string plainName(const std::string& name) { return name.substr(0, name.find('#')); }
+
 Frame toFrame(const FollowCall& call) {
   Frame out;
   out.head = {{kKind, "follow"},     {"name", call.name},     {"zone", call.zone},
@@ -61,6 +63,7 @@
   if (!call.address.empty()) {
     out.head["address"] = call.address;
     out.head["gatekeepers"] = call.gatekeepers;
+    out.head["settled"] = call.settled;
   }
   return out;
 }
@@ -84,6 +87,7 @@
     if (in.contains("address")) {
       in.at("address").get_to(out.address);
       in.at("gatekeepers").get_to(out.gatekeepers);
+      in.at("settled").get_to(out.settled);
     }
     return out;
   });
--- a/src/fleet/wire.hpp
+++ b/src/fleet/wire.hpp
@@ -33,8 +33,12 @@
   // Of a relay alone.
   std::string address;  // not empty: it is one
   std::size_t gatekeepers = 0;
+  bool settled = false;  // its gatekeepers had the time to tell what they hold of a life before this one
 };
 
+// A relay's name without the number of its life.
+std::string plainName(const std::string& name);
+
 struct FollowAnswer {
   std::string leader;       // not empty: ask there
   std::uint64_t epoch = 0;  // 0: ask elsewhere
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -36,7 +36,7 @@
 constexpr auto kAcceptAfterTerm = 2800ms;  // the platform notices within two misses, a second each
 constexpr auto kBudgetLook = 12ms;         // until a further try looks again for room in the budget
 constexpr unsigned kBudgetLooks = 3;       // the control plane has answered by then
-constexpr double kTokenWithin = 60;        // ms that a request waits for a token on its way
+constexpr double kLeastTokenWait = 50;     // ms that a request waits for a token on its way
 constexpr auto kWaitingGap = 2ms;          // between two calls where requests wait for tokens
 constexpr auto kLowGap = 25ms;             // or a stock is low
 constexpr double kGraceKept = 900;         // ms of the grace period, for the last answers' way
@@ -106,6 +106,10 @@
   return true;
 }
 
+// A link that carries a download holds a token up for a while. Whoever is refused within a quarter of its aim
+// has time to come back.
+double tokenWait(const Route& route) { return std::max(kLeastTokenWait, 0.22 * route.aimMs); }
+
 Answer text(http::status status, const char* what) {
   Answer out;
   out.status = status;
@@ -385,9 +389,9 @@
   if (verdict.admitted) {
     admit(std::move(request));
   } else if (verdict.onItsWay) {
-    request.until = at + kTokenWithin;
+    request.until = at + tokenWait(*route);
     parked_.push_back(std::move(request));
-    if (parked_.size() == 1) sweepParked();
+    sweepParked();
   } else {
     refuseQuota(request, verdict.wait);
   }
@@ -428,12 +432,18 @@
 // No request waits for longer than it may, whoever is silent.
 void Gateway::sweepParked() {
   if (parked_.empty()) return;
-  sweep_.expires_after(span(std::max(0.0, parked_.front().until - now())));
+  const auto first = std::min_element(parked_.begin(), parked_.end(),
+                                      [](const Parked& a, const Parked& b) { return a.until < b.until; });
+  sweep_.expires_after(span(std::max(0.0, first->until - now())));
   sweep_.async_wait([this](const burlwind::Error& error) {
     if (error) return;
-    while (!parked_.empty() && parked_.front().until <= now()) {
-      const Parked late = std::move(parked_.front());
-      parked_.pop_front();
+    for (auto it = parked_.begin(); it != parked_.end();) {
+      if (it->until > now()) {
+        ++it;
+        continue;
+      }
+      const Parked late = std::move(*it);
+      it = parked_.erase(it);
       refuseQuota(late, kRetryAfter);
     }
     sweepParked();
--- a/src/quota/admission.cpp
+++ b/src/quota/admission.cpp
@@ -143,7 +143,7 @@
   b.tokens += grant.tokens;
   b.store += grant.tokens;
   b.due += std::max(0.0, grant.tokens);
-  if (b.tokens < kWhole * b.asksFor && !grant.more) b.dryUntil = now + kDryFor;
+  if (b.asksFor > 0 && b.tokens < kWhole * b.asksFor && !grant.more) b.dryUntil = now + kDryFor;
 }
 
 void Admission::lost() {
--- a/src/quota/retry_ledger.hpp
+++ b/src/quota/retry_ledger.hpp
@@ -32,6 +32,8 @@
   ShareLedger::Turn turn(Millis now, const std::string& holder, const Rates& requests,
                          const std::vector<ShareDemand>& demands, bool whole);
 
+  void settled(Millis now, const std::string& name) { shares_.settled(now, name); }
+
  private:
   const RetryRule rule_;
   ShareLedger shares_;
--- a/src/quota/share_ledger.cpp
+++ b/src/quota/share_ledger.cpp
@@ -6,7 +6,10 @@
 namespace lilacmux {
 namespace {
 
-constexpr double kDoubt = 0.04;    // of the rate, over the holders: what each is held to ask for at least
+constexpr double kEvenly = 0.4;    // of the rate: lent in even parts, whatever the demand; the rest by demand
+constexpr double kUsualBy = 0.06;  // of each word on a demand that goes into the usual one
+constexpr double kKeepRate =
+    0.2;  // a lent rate that is right but for so much stays, so that all fit together
 constexpr double kInStocks = 0.7;  // of the burst at most; the rest goes at once to whoever runs low
 constexpr double kTakeBack = 0.5;  // tokens over what is wanted that stay where they are
 constexpr double kRateBeyond =
@@ -37,6 +40,7 @@
   ledger.lent += sign * h.lent();
   ledger.rates += sign * h.rate;
   ledger.waiting += sign * h.waiting;
+  ledger.usual += sign * std::max(0.0, h.usual);
 }
 
 std::size_t ShareLedger::holders(Millis now) const {
@@ -112,7 +116,8 @@
     count(ledger, found->second, -1);
     ledger.holdings.erase(found);
     if (ledger.holdings.empty())  // what rounding has left goes too
-      ledger.out = ledger.perS = ledger.wants = ledger.lent = ledger.rates = ledger.waiting = 0;
+      ledger.out = ledger.perS = ledger.wants = ledger.lent = ledger.rates = ledger.waiting = ledger.usual =
+          0;
   }
 }
 
@@ -146,18 +151,21 @@
   mine.offered = 0;
   mine.stock = demand.stock;
   mine.perS = demand.perS;
+  mine.usual = mine.usual < 0 ? demand.perS : mine.usual + kUsualBy * (demand.perS - mine.usual);
   mine.waiting = demand.waiting;
   mine.want = demand.want;
 }
 
-// Its part of the rate by its part of the demand, as far as others do not still hold it.
+// Its part of the rate, half evenly and half by what it usually asks for, as far as others do not still hold
+// it.
 double ShareLedger::rateFor(const Ledger& ledger, const Holding& mine) const {
   const double count = static_cast<double>(std::max<std::size_t>(1, ledger.holdings.size()));
-  const double least = kDoubt * ledger.quota.rate / count;
-  const double sum = ledger.perS + least * count;
-  const double others = ledger.lent - mine.lent();
-  const double part = ledger.quota.rate * (mine.perS + least) / std::max(sum, 1e-9);
-  return std::clamp(part, 0.0, std::max(0.0, ledger.quota.rate - others));
+  const double byDemand = ledger.usual > 0 ? std::max(0.0, mine.usual) / ledger.usual : 1 / count;
+  const double part = ledger.quota.rate * (kEvenly / count + (1 - kEvenly) * byDemand);
+  const double held = mine.lent();
+  const double room = std::max(0.0, ledger.quota.rate - (ledger.lent - held));
+  if (std::abs(part - held) <= kKeepRate * part && held <= room) return held;
+  return std::clamp(part, 0.0, room);
 }
 
 // Up to what its demand needs for a while, and what waits there; where all together want more than there may
@@ -179,6 +187,18 @@
   return grained(std::max(0.0, tokens));
 }
 
+void ShareLedger::settled(Millis now, const std::string& name) {
+  if (!awaited_.contains(name)) return;
+  if (awaited_.size() == 1) fillAll(now);  // the quiet time ends here
+  awaited_.erase(name);
+}
+
+bool ShareLedger::isGone(Millis now, const std::string& name) const {
+  return !isQuiet(now) && std::none_of(holders_.begin(), holders_.end(), [&](const auto& entry) {
+    return entry.first.substr(0, entry.first.find('#')) == name;
+  });
+}
+
 ShareLedger::Turn ShareLedger::turn(Millis now, const std::string& holder,
                                     const std::vector<ShareDemand>& demands, bool whole) {
   hear(now, holder);
@@ -201,10 +221,7 @@
       count(ledger, found->second, -1);
       ledger.holdings.erase(found);
     }
-    if (!awaited_.empty() && awaited_.contains(holder)) {
-      if (awaited_.size() == 1) fillAll(now);  // the quiet time ends here
-      awaited_.erase(holder);
-    }
+    settled(now, holder);
   }
   out.grant = ++lastGrant_;
   for (const ShareDemand& demand : demands) {
--- a/src/quota/share_ledger.hpp
+++ b/src/quota/share_ledger.hpp
@@ -96,6 +96,9 @@
   // One holder's turn. `whole`: it tells of all that it holds, and holds nothing of other tenants.
   Turn turn(Millis now, const std::string& holder, const std::vector<ShareDemand>& demands, bool whole);
 
+  // All that was lent to this one by ledgers before this is told of here: it is awaited no longer.
+  void settled(Millis now, const std::string& name);
+
   // All that this place and its holders have together of a tenant, and ask for.
   struct Sum {
     double perS = 0, stock = 0, waiting = 0;
@@ -106,10 +109,9 @@
   Sum sum(Millis now, const std::string& tenant);
 
   std::size_t holders(Millis now) const;
-  // Whether this holder can have nothing: it was not heard for a lease's time.
-  bool isGone(Millis now, const std::string& holder) const {
-    return !isQuiet(now) && !holders_.contains(holder);
-  }
+  // Whether nobody of this name can have anything: none was heard for a lease's time. A holder's name may go
+  // on behind a `#` with the number of its life.
+  bool isGone(Millis now, const std::string& name) const;
   // Ledgers and holdings looked at so far: what the work grows with.
   std::uint64_t looks() const { return looks_; }
 
@@ -120,6 +122,7 @@
     double given = 0;  // on its way, until it is confirmed
     double rate = 0, offered = 0;
     double waiting = 0, want = 0;
+    double usual = -1;  // its demand, over some seconds; below 0: not heard yet
     std::uint64_t grant = 0;
     double lent() const { return rate > offered ? rate : offered; }
   };
@@ -130,7 +133,7 @@
     std::unordered_map<std::string, Holding> holdings;
     // Over the holdings.
     double out = 0;  // in stocks and on the way
-    double perS = 0, wants = 0, lent = 0, rates = 0, waiting = 0;
+    double perS = 0, wants = 0, lent = 0, rates = 0, waiting = 0, usual = 0;
     double room() const { return quota.burst > out ? quota.burst - out : 0; }
   };
   bool isQuiet(Millis now) const { return !awaited_.empty() && now < quietUntil_; }
--- a/src/quota/share_relay.cpp
+++ b/src/quota/share_relay.cpp
@@ -11,6 +11,7 @@
 constexpr double kDryFor = 50;             // ms after which the primary is asked again for what it had not
 constexpr double kLow = 1;                 // tokens in the bucket under which more is asked for at once
 constexpr double kLowS = 0.1;              // and seconds of demand
+constexpr double kAloneBurst = 4;          // tokens that a lent rate alone saves up, and a second of it
 constexpr double kTellBy = 0.05;           // of a rate: changes that are worth a word
 constexpr std::uint64_t kLives = 1 << 24;  // grants that one ledger numbers
 
@@ -26,6 +27,16 @@
   ledger_.emplace(ShareLedger::Fills::bySupply, below_, now, std::set<std::string>{}, firstGrant_);
 }
 
+void ShareRelay::fillAlone(Millis now, const std::string& tenant) {
+  Held& held = held_[tenant];
+  const Millis from = std::max(held.filledTo, sentAt_ + above_.aloneAfter);
+  const Millis to = std::min(now, leaseUntil_);
+  if (to <= from) return;
+  held.filledTo = to;
+  const double room = kAloneBurst + held.rate - ledger_->sum(now, tenant).bucket;
+  ledger_->supply(now, tenant, std::clamp(held.rate * (to - from) / 1000, 0.0, std::max(0.0, room)));
+}
+
 // Whether the bucket should be filled ahead of its time.
 void ShareRelay::note(Millis now, const std::string& tenant) {
   changed_.insert(tenant);
@@ -41,13 +52,14 @@
       held_[demand.tenant];
       ledger_->limit(now, demand.tenant, {0, std::numeric_limits<double>::infinity()});
     }
+  for (const ShareDemand& demand : demands) fillAlone(now, demand.tenant);
   auto out = ledger_->turn(now, gatekeeper, demands, whole);
   if (!out.known) return out;
   for (std::size_t i = 0; i < demands.size(); ++i) {
     const ShareDemand& demand = demands[i];
     note(now, demand.tenant);
     const bool lacks = demand.waiting > 0 && demand.stock + out.grants[i].tokens + 1e-6 < demand.waiting;
-    out.grants[i].more = lacks && now >= held_[demand.tenant].dryUntil;
+    out.grants[i].more = lacks && !isAlone(now) && now >= held_[demand.tenant].dryUntil;
   }
   return out;
 }
@@ -77,7 +89,9 @@
 }
 
 // What it was lent had ended: so had all that it lent on, and everybody tells anew.
-void ShareRelay::heard(Millis now, Millis leaseUntil) {
+void ShareRelay::heard(Millis now, Millis sentAt, Millis leaseUntil) {
+  if (isAlone(now))
+    for (auto& [tenant, held] : held_) fillAlone(now, tenant);
   if (now >= leaseUntil_ && leaseUntil_ > 0) {
     firstGrant_ += kLives;
     begin(now);
@@ -86,6 +100,7 @@
       ledger_->limit(now, tenant, {0, std::numeric_limits<double>::infinity()});
     }
   }
+  sentAt_ = sentAt;
   leaseUntil_ = leaseUntil;
 }
 
@@ -98,7 +113,7 @@
   held.rate = grant.rate;
   ledger_->limit(now, grant.tenant, {grant.rate, std::numeric_limits<double>::infinity()});
   ledger_->supply(now, grant.tenant, grant.tokens);
-  if (grant.tokens < held.asksFor) held.dryUntil = now + kDryFor;
+  if (held.asksFor > 0 && grant.tokens < held.asksFor - 0.01) held.dryUntil = now + kDryFor;
 }
 
 void ShareRelay::lost() {
--- a/src/quota/share_relay.hpp
+++ b/src/quota/share_relay.hpp
@@ -1,6 +1,8 @@
 // A relay's part of the quotas: it holds a share of each tenant's, and lends it on to the gatekeepers near
 // it. To the primary it is one holder; what its gatekeepers have in their stocks is part of its own. What
-// they are lent ends when what it was lent itself does. A state machine without a clock.
+// they are lent ends when what it was lent itself does. While it hears
+// nothing of the primary it goes by its lent rate, on behalf of all its gatekeepers together. A state machine
+// without a clock.
 #pragma once
 
 #include <cstdint>
@@ -30,7 +32,7 @@
   bool isShort() const { return !short_.empty(); }
   enum class Tell { whole, changes, urgent };
   std::vector<ShareDemand> demands(Millis now, Tell what);
-  void heard(Millis now, Millis leaseUntil);
+  void heard(Millis now, Millis sentAt, Millis leaseUntil);
   void take(Millis now, const ShareGrant& grant, std::uint64_t number);
   void lost();
   Millis leaseUntil() const { return leaseUntil_; }
@@ -41,10 +43,13 @@
     double rate = 0;  // lent by the primary
     std::uint64_t grant = 0;
     Millis dryUntil = -1e18;  // the primary has nothing for now
+    Millis filledTo = -1e18;  // while alone
     bool out = false;         // told of in the call that is not yet answered
     double asksFor = 0;       // and needs so many tokens at once
   };
   void begin(Millis now);
+  bool isAlone(Millis now) const { return now >= sentAt_ + above_.aloneAfter; }
+  void fillAlone(Millis now, const std::string& tenant);
   void note(Millis now, const std::string& tenant);
 
   const ShareTiming above_, below_;
@@ -52,6 +57,7 @@
   std::optional<ShareLedger> ledger_;
   std::unordered_map<std::string, Held> held_;  // by tenant
   std::set<std::string> changed_, short_;       // tenants to tell of
+  Millis sentAt_ = -1e18;                       // the call that was answered last
   Millis leaseUntil_ = -1e18;
 };
 
