Count what lies with gatekeepers that went elsewhere apart, and say so when leaving a relay

Cause: where a relay came back its gatekeepers returned to it, and the relays they left went on reserving their rates for 4 s.

Change: a relay asks for what lies with the silent beside what it wants; who leaves a relay for a better one says that it holds nothing there; a relay's new life is awaited for 0.6 s.

--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -101,7 +101,7 @@
 Follower::Host ControlNode::relaysHost() {
   return {[this](bool whole, bool urgent) { return relay_.asks(now(), whole, urgent); },
           [this](const FollowAnswer& answer, double sentAt) { relay_.news(now(), answer, sentAt); },
-          [this] { relay_.lost(); }, log_};
+          [this] { relay_.lost(); }, log_, nullptr};
 }
 
 // One without a disk asks a relay for nothing but which relays there are.
@@ -127,7 +127,7 @@
               best.push_back(parseAddress(relay.address, "relays"));
             follower_->prefer(std::move(best));
           },
-          [] {}, log_};
+          [] {}, log_, nullptr};
 }
 
 void ControlNode::reload(const NodeSettings& settings) {
--- a/src/fleet/follower.cpp
+++ b/src/fleet/follower.cpp
@@ -43,6 +43,7 @@
   if (best == preferred_ || best.empty()) return;
   preferred_ = std::move(best);
   at_ = 0;
+  if (client_ && client_->peer() != preferred_.front()) leave();
   go(preferred_.front());
 }
 
@@ -80,6 +81,12 @@
   backAt_ = Clock::now() + kBackAfter;
 }
 
+// Who is left at will need not go on counting on what it has lent.
+void Follower::leave() {
+  if (!known_ || !client_ || !host_.leaves) return;
+  client_->call(toFrame(host_.leaves()), kAnswerWithin, [](std::optional<Frame>) {});
+}
+
 void Follower::next() {
   const std::size_t all = preferred_.size() + candidates_.size();
   if (all == 0) return;
@@ -92,6 +99,7 @@
   const bool urgent = std::exchange(urgent_, false) && known_ && Clock::now() < fullAt_;
   if (!preferred_.empty() && at_ != 0 && Clock::now() >= backAt_) {
     at_ = 0;
+    if (client_ && client_->peer() != preferred_.front()) leave();
     go(preferred_.front());
   }
   if (!client_) return again(kEvery);
--- a/src/fleet/follower.hpp
+++ b/src/fleet/follower.hpp
@@ -26,6 +26,7 @@
     std::function<void(const FollowAnswer&, Millis sentAt)> news;
     std::function<void()> lost;  // what was asked for was not answered
     std::function<void(const std::string&)> log;
+    std::function<FollowCall()> leaves;  // if set: what is said to one that is left for a better one
   };
 
   Follower(boost::asio::io_context& io, std::vector<Endpoint> candidates, Host host);
@@ -42,6 +43,7 @@
   void failed(std::chrono::milliseconds wait);
   void learn(const std::vector<std::string>& core);
   void go(const Endpoint& to);
+  void leave();
   void next();
   void again(std::chrono::milliseconds wait);
 
--- a/src/fleet/relay.cpp
+++ b/src/fleet/relay.cpp
@@ -14,7 +14,7 @@
 constexpr double kStale = 2000;
 // ms after a start within which gatekeepers have told it what they hold; whoever is cut off for longer goes
 // by a rate that is small against what is kept of the rule.
-constexpr double kSettledAfter = 1200;
+constexpr double kSettledAfter = 600;
 constexpr std::size_t kRelaysTold = 6;  // a gatekeeper needs a few of its zone and one elsewhere
 constexpr std::uint64_t kRetriesFrom = 1ULL << 31;
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -157,7 +157,17 @@
                        retries_.lost();
                        lookAtParked();
                      },
-                     log_});
+                     log_,
+                     [this] {
+                       FollowCall out;
+                       out.name = settings_.name;
+                       out.zone = settings_.zone;
+                       out.epoch = epoch_, out.place = place_;
+                       out.revision = table_ ? table_->revision() : 0;
+                       out.relays = relaysAre_;
+                       out.whole = true;
+                       return out;
+                     }});
 }
 
 Gateway::~Gateway() = default;
--- a/src/quota/share_ledger.cpp
+++ b/src/quota/share_ledger.cpp
@@ -261,7 +261,19 @@
   if (found == ledgers_.end()) return {};
   Ledger& ledger = found->second;
   fill(ledger, now);
-  return {ledger.perS, ledger.bucket + ledger.out, ledger.waiting, ledger.lent, ledger.bucket, ledger.wants};
+  Sum out{
+      ledger.perS, ledger.bucket + ledger.out, ledger.waiting, ledger.lent, ledger.bucket, ledger.wants, 0};
+  for (const auto& [heardAt, name] : byAge_) {
+    if (heardAt + timing_.reservedAfter >= now) break;
+    const auto silent = ledger.holdings.find(name);
+    if (silent == ledger.holdings.end()) continue;
+    ++looks_;
+    out.idle += std::max(0.0, silent->second.stock) + std::max(0.0, silent->second.given);
+    out.wants -= silent->second.want;
+    out.perS -= silent->second.perS;
+    out.waiting -= silent->second.waiting;
+  }
+  return out;
 }
 
 }  // namespace lilacmux
--- a/src/quota/share_ledger.hpp
+++ b/src/quota/share_ledger.hpp
@@ -104,7 +104,8 @@
     double perS = 0, stock = 0, waiting = 0;
     double lent = 0;    // of the rate, to holders
     double bucket = 0;  // of the stock, not lent on
-    double wants = 0;   // of the holders
+    double wants = 0;   // of the holders, but for those that are silent
+    double idle = 0;    // of the stock, what lies with those: it serves nobody here
   };
   Sum sum(Millis now, const std::string& tenant);
 
--- a/src/quota/share_relay.cpp
+++ b/src/quota/share_relay.cpp
@@ -77,8 +77,8 @@
     held.out = true;
     // What waits is asked for beside the stock, as far as it is not here.
     held.asksFor = std::max(0.0, sum.waiting - std::max(0.0, sum.bucket));
-    out.push_back({tenant, sum.perS, sum.stock, std::max(held.rate, sum.lent), held.grant, held.asksFor,
-                   sum.wants + stockFor(above_, sum.perS)});
+    out.push_back({tenant, std::max(0.0, sum.perS), sum.stock, std::max(held.rate, sum.lent), held.grant,
+                   held.asksFor, sum.wants + sum.idle + stockFor(above_, std::max(0.0, sum.perS))});
   }
   if (what == Tell::urgent)
     for (const std::string& tenant : short_) changed_.erase(tenant);
--- a/tests/system/fleet_test.cpp
+++ b/tests/system/fleet_test.cpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include "fleet/relay.hpp"
+#include "quota/admission.hpp"
 
 namespace lilacmux::test {
 namespace {
@@ -108,6 +109,22 @@
   EXPECT_TRUE(relay.since(8, 40, 0).snapshot);
 }
 
+// What is reserved for a gatekeeper that went elsewhere is no stock for those that are here.
+TEST(Relays, AskForAsMuchForThoseThatAreHereWhenOthersHaveGone) {
+  ShareRelay relay({}, gatekeeperTiming(), 0, 1 << 20);
+  relay.heard(0, 0, 4000);
+  relay.turn(0, "here", {{"t", 5, 0, 0, 0, 0, 4}}, true);
+  relay.turn(0, "gone", {{"t", 5, 0, 0, 0, 0, 4}}, true);
+  relay.demands(0, ShareRelay::Tell::whole);
+  relay.take(0, {"t", 30, 20}, 7);
+  relay.turn(10, "gone", {{"t", 5, 9, 0, 0, 0, 4}}, false);
+  relay.heard(1500, 1500, 5500);
+  relay.turn(1500, "here", {{"t", 5, 0, 0, 0, 0, 4}}, false);
+  const auto told = relay.demands(1500, ShareRelay::Tell::whole);
+  ASSERT_EQ(told.size(), 1u);
+  EXPECT_GT(told[0].want, 9 + 4) << "what lies with the one that is gone is asked for beside it";
+}
+
 // A follower that was told more by another relay is not taken back.
 TEST(Relays, TellNothingOlderThanTheFollowerHas) {
   ChangeLog primary(9);
