Keep one pace of following, one walk over silent holders and one way to fill an answer

Cause: read once more, the change had these twice or three times: what a follower tells (two enums alike, and the choice among them in three places), when it asks (Follower and the model of a fleet, which is how the model came to copy a fault), the walk over holders that are silent, what is dropped of a holder, how an answer is filled from a ledger's turn, which relays are to be asked. A configuration was parsed again where only a holder's name had changed, and the list of relays sorted and hashed on each call.

Change: ShareTell, FollowPace (a core under Follower and the model), eachSilent, drop, FollowAnswer::lend, Follower::prefer, allKept; the list's hash is kept. Behaviour as before, but that an address of a relay that cannot be read is left out and told of, as a core member's was, where it ended the process.

--- a/src/agreement/replica.cpp
+++ b/src/agreement/replica.cpp
@@ -352,8 +352,7 @@
   for (const auto& [node, peer] : peers_)
     if (peer.tookEpoch == durable_.record.epoch) took.insert(node);
   if (!durable_.record.decides(took)) return;
-  for (const NodeId& backup : durable_.record.backups)
-    if (peers_[backup].kept != durable_.state.sequence) return;
+  if (!allKept()) return;
   const bool news = !committed_ || committed_->sequence != durable_.state.sequence;
   if (!committed_) host_.log("primary in epoch " + epochText(durable_.record.epoch));
   settled_ = true;
@@ -510,14 +509,17 @@
   sendSync(now);
 }
 
+// Whether each backup has the state as it is here; so a core of one always has.
+bool Replica::allKept() {
+  const auto& backups = durable_.record.backups;
+  return std::all_of(backups.begin(), backups.end(),
+                     [&](const NodeId& backup) { return peers_[backup].kept == durable_.state.sequence; });
+}
+
 // To each backup that has the record and not the state, and not again at once. Where all have it, what was in
 // the way of its counting may be over: a lease that had run out, a member that had not taken the record.
 void Replica::sendSync(Millis now) {
-  const auto& backups = durable_.record.backups;
-  const bool all = std::all_of(backups.begin(), backups.end(), [&](const NodeId& backup) {
-    return peers_[backup].kept == durable_.state.sequence;
-  });
-  if (all) return settle(now);
+  if (allKept()) return settle(now);
   for (const NodeId& backup : durable_.record.backups) {
     const Peer& peer = peers_[backup];
     if (peer.tookEpoch != epoch() || peer.kept == durable_.state.sequence) continue;
--- a/src/agreement/replica.hpp
+++ b/src/agreement/replica.hpp
@@ -178,6 +178,7 @@
   void stand(Millis now);
   std::uint64_t nextRound() const;
   void lead(Millis now, const Record& record);
+  bool allKept();
   void sendSync(Millis now);
   void sendSyncTo(Millis now, const NodeId& backup);
   void settle(Millis now);
--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -23,7 +23,6 @@
 constexpr auto kLeaveAfter = 300ms;  // what was said last goes out
 constexpr std::size_t kMostWaiting = 64;
 constexpr Millis kRelayKept = 2000;     // without a word, until gatekeepers are no longer sent there
-constexpr auto kRelayGap = 10ms;        // between two calls of a relay that runs short
 constexpr std::size_t kMostTaken = 64;  // fingerprints kept
 constexpr std::size_t kMostConfiguration = 8 << 20;
 constexpr std::size_t kLinks = 512;  // of gatekeepers and members
@@ -99,20 +98,20 @@
 Millis ControlNode::now() const { return steadyMs(); }
 
 Follower::Host ControlNode::relaysHost() {
-  return {[this](bool whole, bool urgent) { return relay_.asks(now(), whole, urgent); },
+  return {[this](ShareTell what) { return relay_.asks(now(), what); },
           [this](const FollowAnswer& answer, double sentAt) { relay_.news(now(), answer, sentAt); },
           [this] { relay_.lost(); }, log_, nullptr};
 }
 
 // One without a disk asks a relay for nothing but which relays there are.
 Follower::Host ControlNode::onlookersHost() {
-  return {[this](bool whole, bool) {
+  return {[this](ShareTell what) {
             FollowCall out;
             out.name = settings_.name + "/control";
             out.zone = settings_.zone;
-            out.whole = whole;
+            out.whole = what == ShareTell::whole;
             out.epoch = seen_.epoch, out.place = seen_.news.place, out.revision = seen_.news.revision;
-            out.relays = whole ? 0 : seen_.relaysAre;
+            out.relays = out.whole ? 0 : seen_.relaysAre;
             return out;
           },
           [this](const FollowAnswer& answer, double) {
@@ -122,10 +121,7 @@
             if (answer.relays.empty()) return;
             seen_.relaysAre = answer.relaysAre;
             seen_.relays = answer.relays;
-            std::vector<Endpoint> best;
-            for (const RelayPlace& relay : seen_.relays)
-              best.push_back(parseAddress(relay.address, "relays"));
-            follower_->prefer(std::move(best));
+            follower_->prefer(seen_.relays);
           },
           [] {}, log_, nullptr};
 }
@@ -210,6 +206,7 @@
                                       RetryRule{bounds.retryBudgetRatio, bounds.retryBudgetSlack});
     watchPlatform();
   }
+  if (lead_->revision() == state.revision) return;  // only the holders' names have changed
   std::map<std::string, Quota> limits;
   if (state.body) {
     const auto read = parseConfiguration(*state.body);
@@ -379,7 +376,7 @@
 // A gatekeeper's call, answered by the relay here.
 FollowAnswer ControlNode::relayed(const FollowCall& call) {
   FollowAnswer out = relay_.follow(now(), call);
-  if (relay_.isShort()) follower_->hurry(kRelayGap);
+  if (relay_.isShort()) follower_->hurry(FollowPace::kRelayGap);
   if (out.epoch == 0) out.core = replica_->members();
   return out;
 }
--- a/src/experiment/fleet.cpp
+++ b/src/experiment/fleet.cpp
@@ -9,6 +9,7 @@
 #include <random>
 #include <vector>
 
+#include "fleet/pace.hpp"
 #include "fleet/primary.hpp"
 #include "fleet/relay.hpp"
 #include "quota/admission.hpp"
@@ -18,11 +19,10 @@
 
 using Millis = double;
 
-constexpr Millis kEvery = 250;  // as Follower has it
-constexpr Millis kRelayGap = 10, kWaitingGap = 2, kLowGap = 25, kTokenWithin = 60;
+constexpr Millis kTokenWithin = 60;
 constexpr Millis kWorkMs = 150;   // of a request at its server
 constexpr Millis kWarmUp = 3000;  // not counted
-constexpr Millis kAnswerWithin = 700, kConnectWithin = 150;
+constexpr Millis kConnectWithin = 150;
 
 class Fleet {
  public:
@@ -66,9 +66,10 @@
 
   FleetFigures play() {
     const Millis end = kWarmUp + plan_.seconds * 1000;
-    for (std::size_t r = 0; r < relays_.size(); ++r) at(chance() * kEvery, [this, r] { askPrimary(r); });
+    for (std::size_t r = 0; r < relays_.size(); ++r)
+      at(chance() * FollowPace::kEvery, [this, r] { askPrimary(r); });
     for (std::size_t g = 0; g < gatekeepers_.size(); ++g) {
-      at(chance() * kEvery, [this, g] { askRelay(g); });
+      at(chance() * FollowPace::kEvery, [this, g] { askRelay(g); });
     }
     for (std::size_t t = 0; t < tenants_.size(); ++t) arriveLater(t);
     at(kWarmUp, [this] { counted_ = true; });
@@ -101,7 +102,7 @@
     RelayPlace place;
     std::optional<Relay> core;
     bool known = false, out = false, cut = false, dead = false;
-    Millis askedAt = -1e9, dueAt = 0, fullAt = 0;
+    FollowPace pace;
     std::uint64_t turn = 0;
     FleetFigures::Cost cost;
   };
@@ -115,7 +116,7 @@
     Admission admission;
     std::deque<Waiting> waiting;
     bool known = false, out = false;
-    Millis askedAt = -1e9, dueAt = 0, fullAt = 0;
+    FollowPace pace;
     std::uint64_t turn = 0;
     std::uint64_t epoch = 0, place = 0, revision = 0, relaysAre = 0;
     FleetFigures::Cost cost;
@@ -134,13 +135,8 @@
 
   void lead(std::uint64_t round) {
     noPrimary_ = false;
-    std::set<std::string> holders;
-    if (round > 0)
-      for (const std::string& name : named_) holders.insert(name);
-    primary_.emplace(now_, (round + 1) << 20, holders, rule_, RetryRule{});
-    std::map<std::string, Quota> limits;
-    for (const Tenant& tenant : tenants_) limits[tenant.name] = tenant.limit;
-    primary_->configuration(now_, revision_, std::make_shared<const std::string>(1000, 'c'), limits);
+    primary_.emplace(now_, (round + 1) << 20, named_, rule_, RetryRule{});
+    configure();
     std::vector<Instance> servers;
     for (unsigned s = 0; s < 3 * plan_.gatekeepers; ++s)
       servers.push_back({"i-" + std::to_string(s), "service", "10.1.0.1:80", "z0", 3, false, 0});
@@ -149,6 +145,10 @@
   void change() {
     ++revision_;
     changedAt_ = now_;
+    configure();
+  }
+
+  void configure() {
     std::map<std::string, Quota> limits;
     for (const Tenant& tenant : tenants_) limits[tenant.name] = tenant.limit;
     primary_->configuration(now_, revision_, std::make_shared<const std::string>(1000, 'c'), limits);
@@ -171,18 +171,16 @@
   void askPrimary(std::size_t r) {
     RelayNode& relay = *relays_[r];
     if (relay.out) return;
-    const bool urgent = now_ < relay.fullAt && relay.known;
-    if (!urgent) relay.fullAt = now_ + kEvery;
     relay.out = true;
-    relay.askedAt = now_;
     const std::uint64_t turn = ++relay.turn;
-    const Frame call = sent(relay.core->asks(now_, !relay.known, urgent), relay.cost, primaryCost_);
-    at(now_ + kAnswerWithin, [this, r, turn] {
+    const Frame call =
+        sent(relay.core->asks(now_, relay.pace.ask(now_, relay.known)), relay.cost, primaryCost_);
+    at(now_ + FollowPace::kAnswerWithin, [this, r, turn] {
       RelayNode& late = *relays_[r];
       if (late.turn != turn || !late.out) return;
       late.out = late.known = false;
       late.core->lost();
-      askPrimaryIn(r, 60);
+      askPrimaryIn(r, FollowPace::kAfterFailure);
     });
     if (relay.cut || relay.dead || noPrimary_) return;
     at(now_ + plan_.oneWayMs, [this, r, turn, call] {
@@ -198,13 +196,13 @@
         to.out = false;
         const auto news = *followAnswerOf(Frame(back));
         to.known = news.known;
-        to.core->news(now_, news, to.askedAt);
-        askPrimaryIn(r, to.known ? std::max(0.0, to.fullAt - now_) : 1);
+        to.core->news(now_, news, to.pace.askedAt());
+        askPrimaryIn(r, to.known ? to.pace.rest(now_) : 1);
       });
     });
   }
   void askPrimaryIn(std::size_t r, Millis wait) {
-    relays_[r]->dueAt = now_ + wait;
+    relays_[r]->pace.wait(now_ + wait);
     const std::uint64_t turn = relays_[r]->turn;
     at(now_ + wait, [this, r, turn] {
       if (relays_[r]->turn == turn) askPrimary(r);
@@ -214,20 +212,16 @@
   void askRelay(std::size_t g) {
     Gatekeeper& node = *gatekeepers_[g];
     if (node.out) return;
-    const bool urgent = now_ < node.fullAt && node.known;
-    if (!urgent) node.fullAt = now_ + kEvery;
     node.out = true;
-    node.askedAt = now_;
     const std::uint64_t turn = ++node.turn;
     FollowCall call;
     call.name = node.name;
     call.zone = node.zone;
     call.epoch = node.epoch, call.place = node.place, call.revision = node.revision;
     call.relays = node.relaysAre;
-    call.whole = !node.known;
-    call.demands = node.admission.demands(now_, call.whole ? Admission::Tell::whole
-                                                : urgent   ? Admission::Tell::urgent
-                                                           : Admission::Tell::changes);
+    const ShareTell what = node.pace.ask(now_, node.known);
+    call.whole = what == ShareTell::whole;
+    call.demands = node.admission.demands(now_, what);
     RelayNode& relay = *relays_[node.relay];
     const Frame frame = sent(call, node.cost, relay.cost);
     const std::size_t r = node.relay;
@@ -240,10 +234,9 @@
       if (counted_) at1.cost.calls += 1;
       const FollowAnswer answer = at1.core->follow(now_, *followCallOf(frame));
       if (at1.core->isShort() && !at1.out) {
-        const Millis due = std::max(now_, at1.askedAt + kRelayGap);
-        if (due < at1.dueAt) {
+        if (const auto wait = at1.pace.hurry(now_, FollowPace::kRelayGap)) {
           const std::uint64_t turnOfRelay = at1.turn;
-          at(due, [this, r, turnOfRelay] {
+          at(now_ + *wait, [this, r, turnOfRelay] {
             if (relays_[r]->turn == turnOfRelay) askPrimary(r);
           });
         }
@@ -256,9 +249,7 @@
     Gatekeeper& node = *gatekeepers_[g];
     if (node.turn != turn) return;
     node.out = false;
-    if (answer.epoch == 0) {
-      return elsewhere(g);
-    }
+    if (answer.epoch == 0) return elsewhere(g);
     if (answer.epoch >= node.epoch) {
       node.epoch = answer.epoch, node.place = answer.news.place;
       if (answer.news.revision > node.revision) {
@@ -269,9 +260,10 @@
     }
     node.known = answer.known;
     if (!answer.relays.empty()) node.relaysAre = answer.relaysAre;
-    node.admission.heard(now_, node.askedAt, node.askedAt - answer.ageMs + ShareTiming{}.lease);
+    const Millis sentAt = node.pace.askedAt();
+    node.admission.heard(now_, sentAt, sentAt - answer.ageMs + ShareTiming{}.lease);
     for (const ShareGrant& grant : answer.grants) node.admission.take(now_, grant, answer.grant);
-    askRelayIn(g, node.known ? std::max(0.0, node.fullAt - now_) : 1);
+    askRelayIn(g, node.known ? node.pace.rest(now_) : 1);
     lookAt(node);
     hurry(g);
   }
@@ -281,10 +273,10 @@
     node.admission.lost();
     node.relay = (node.relay + 1) % relays_.size();
     lookAt(node);
-    askRelayIn(g, 60);
+    askRelayIn(g, FollowPace::kAfterFailure);
   }
   void askRelayIn(std::size_t g, Millis wait) {
-    gatekeepers_[g]->dueAt = now_ + wait;
+    gatekeepers_[g]->pace.wait(now_ + wait);
     const std::uint64_t turn = gatekeepers_[g]->turn;
     at(now_ + wait, [this, g, turn] {
       if (gatekeepers_[g]->turn == turn) askRelay(g);
@@ -294,11 +286,11 @@
     Gatekeeper& node = *gatekeepers_[g];
     const auto need = node.admission.need();
     if (need == Admission::Need::none || node.out) return;
-    const Millis due =
-        std::max(now_, node.askedAt + (need == Admission::Need::waiting ? kWaitingGap : kLowGap));
-    if (due >= node.dueAt) return;
+    const auto wait = node.pace.hurry(
+        now_, need == Admission::Need::waiting ? FollowPace::kWaitingGap : FollowPace::kLowGap);
+    if (!wait) return;
     const std::uint64_t turn = node.turn;
-    at(due, [this, g, turn] {
+    at(now_ + *wait, [this, g, turn] {
       if (gatekeepers_[g]->turn == turn) askRelay(g);
     });
   }
--- a/src/fleet/follower.cpp
+++ b/src/fleet/follower.cpp
@@ -3,32 +3,25 @@
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <chrono>
+#include <cmath>
 
 #include "net/steady.hpp"
 
 namespace lilacmux {
 namespace {
 
-using namespace std::chrono_literals;
-using Clock = std::chrono::steady_clock;
-
-constexpr auto kEvery = 250ms;  // longer: changes and shares come later; shorter: more work for all
-constexpr auto kAnswerWithin = 700ms;
-constexpr auto kAfterFailure = 60ms;
-constexpr auto kNobodyLeads = 120ms;
-constexpr auto kBackAfter = 5s;             // whoever is best is tried again
+constexpr double kNobodyLeads = 120;        // ms
+constexpr double kBackAfter = 5000;         // ms after which whoever is best is tried again
 constexpr std::ptrdiff_t kMostOthers = 12;  // the newest ones: where to go if no preferred one answers
 
-std::chrono::milliseconds until(Clock::time_point at) {
-  return std::max(0ms, std::chrono::ceil<std::chrono::milliseconds>(at - Clock::now()));
-}
+std::chrono::milliseconds span(double ms) { return std::chrono::milliseconds(std::lround(std::ceil(ms))); }
 
 }  // namespace
 
 Follower::Follower(boost::asio::io_context& io, std::vector<Endpoint> candidates, Host host)
     : io_(io), candidates_(std::move(candidates)), timer_(io), host_(std::move(host)) {
   if (!candidates_.empty()) go(candidates_.front());
-  again(0ms);
+  again(0);
 }
 
 void Follower::add(const std::vector<Endpoint>& candidates) {
@@ -39,37 +32,39 @@
     candidates_.erase(candidates_.begin(), candidates_.end() - kMostOthers);
 }
 
-void Follower::prefer(std::vector<Endpoint> best) {
-  if (best == preferred_ || best.empty()) return;
-  preferred_ = std::move(best);
-  at_ = 0;
-  if (client_ && client_->peer() != preferred_.front()) leave();
-  go(preferred_.front());
+// Those that cannot be read are told of and left out.
+std::vector<Endpoint> Follower::read(const std::vector<std::string>& addresses) const {
+  std::vector<Endpoint> out;
+  for (const std::string& address : addresses) {
+    try {
+      out.push_back(parseAddress(address, "address"));
+    } catch (const SettingsError& why) {
+      host_.log(std::string("where to ask cannot be read: ") + why.what());
+    }
+  }
+  return out;
 }
 
-// The core's members change: who is asked when the primary falls silent must not be only those told first.
-void Follower::learn(const std::vector<std::string>& core) {
-  try {
-    std::vector<Endpoint> told;
-    for (const std::string& node : core) told.push_back(parseAddress(node, "core"));
-    add(told);
-  } catch (const SettingsError& why) {
-    host_.log(std::string("a core member's address cannot be read: ") + why.what());
-  }
+void Follower::prefer(const std::vector<RelayPlace>& best) {
+  std::vector<std::string> addresses;
+  for (const RelayPlace& relay : best) addresses.push_back(relay.address);
+  auto told = read(addresses);
+  if (told == preferred_ || told.empty()) return;
+  preferred_ = std::move(told);
+  goBack();
 }
 
-void Follower::again(std::chrono::milliseconds wait) {
-  dueAt_ = Clock::now() + wait;
-  timer_.expires_after(wait);
+void Follower::again(Millis wait) {
+  pace_.wait(steadyMs() + wait);
+  timer_.expires_after(span(wait));
   timer_.async_wait([this](const boost::system::error_code& error) {
     if (!error) poll();
   });
 }
 
-void Follower::hurry(std::chrono::milliseconds gap) {
-  if (!waits_ || askedAt_ + gap >= dueAt_) return;
-  urgent_ = true;
-  again(until(askedAt_ + gap));
+void Follower::hurry(Millis gap) {
+  if (!waits_) return;
+  if (const auto wait = pace_.hurry(steadyMs(), gap)) again(*wait);
 }
 
 void Follower::go(const Endpoint& to) {
@@ -78,13 +73,20 @@
   if (client_) boost::asio::post(io_, [old = std::shared_ptr<FrameClient>(std::move(client_))] {});
   client_ = std::make_unique<FrameClient>(io_, to);
   known_ = false;
-  backAt_ = Clock::now() + kBackAfter;
+  backAt_ = steadyMs() + kBackAfter;
 }
 
 // Who is left at will need not go on counting on what it has lent.
 void Follower::leave() {
   if (!known_ || !client_ || !host_.leaves) return;
-  client_->call(toFrame(host_.leaves()), kAnswerWithin, [](std::optional<Frame>) {});
+  client_->call(toFrame(host_.leaves()), span(FollowPace::kAnswerWithin), [](std::optional<Frame>) {});
+}
+
+// To the best one.
+void Follower::goBack() {
+  at_ = 0;
+  if (client_ && client_->peer() != preferred_.front()) leave();
+  go(preferred_.front());
 }
 
 void Follower::next() {
@@ -96,21 +98,14 @@
 
 void Follower::poll() {
   waits_ = false;
-  const bool urgent = std::exchange(urgent_, false) && known_ && Clock::now() < fullAt_;
-  if (!preferred_.empty() && at_ != 0 && Clock::now() >= backAt_) {
-    at_ = 0;
-    if (client_ && client_->peer() != preferred_.front()) leave();
-    go(preferred_.front());
-  }
-  if (!client_) return again(kEvery);
-  askedAt_ = Clock::now();
-  if (!urgent) fullAt_ = askedAt_ + kEvery;
+  if (!preferred_.empty() && at_ != 0 && steadyMs() >= backAt_) goBack();
+  if (!client_) return again(FollowPace::kEvery);
   const Millis sentAt = steadyMs();
-  client_->call(toFrame(host_.asks(!known_, urgent)), kAnswerWithin,
+  client_->call(toFrame(host_.asks(pace_.ask(sentAt, known_))), span(FollowPace::kAnswerWithin),
                 [this, sentAt](std::optional<Frame> frame) { answered(std::move(frame), sentAt); });
 }
 
-void Follower::failed(std::chrono::milliseconds wait) {
+void Follower::failed(Millis wait) {
   known_ = false;
   host_.lost();
   again(wait);
@@ -121,9 +116,9 @@
   if (!answer) {
     if (++failures_ == 3) host_.log("the control plane does not answer");
     next();
-    return failed(kAfterFailure);
+    return failed(FollowPace::kAfterFailure);
   }
-  learn(answer->core);
+  add(read(answer->core));  // the core's members change: who is asked must not be only those told first
   if (answer->epoch == 0) {
     try {
       if (answer->leader.empty())
@@ -133,14 +128,14 @@
     } catch (const SettingsError&) {
       next();
     }
-    return failed(answer->leader.empty() ? kNobodyLeads : kAfterFailure);
+    return failed(answer->leader.empty() ? kNobodyLeads : FollowPace::kAfterFailure);
   }
   if (failures_ >= 3) host_.log("the control plane answers again");
   failures_ = 0;
   known_ = answer->known;
   add({client_->peer()});
   waits_ = true;
-  again(known_ ? until(fullAt_) : 0ms);
+  again(known_ ? pace_.rest(steadyMs()) : 0);
   host_.news(*answer, sentAt);
 }
 
--- a/src/fleet/follower.hpp
+++ b/src/fleet/follower.hpp
@@ -5,12 +5,12 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <chrono>
 #include <functional>
 #include <memory>
 #include <string>
 #include <vector>
 
+#include "fleet/pace.hpp"
 #include "fleet/wire.hpp"
 #include "net/frames.hpp"
 #include "settings/settings.hpp"
@@ -21,8 +21,7 @@
  public:
   using Millis = double;
   struct Host {
-    // `whole`: whoever is asked knows nothing of this one yet. `urgent`: ahead of its time.
-    std::function<FollowCall(bool whole, bool urgent)> asks;
+    std::function<FollowCall(ShareTell)> asks;
     std::function<void(const FollowAnswer&, Millis sentAt)> news;
     std::function<void()> lost;  // what was asked for was not answered
     std::function<void(const std::string&)> log;
@@ -31,21 +30,22 @@
 
   Follower(boost::asio::io_context& io, std::vector<Endpoint> candidates, Host host);
   // Asks again ahead of its time, that long after the call before at least.
-  void hurry(std::chrono::milliseconds gap);
+  void hurry(Millis gap);
   // Other places to ask, beside those that are known.
   void add(const std::vector<Endpoint>& candidates);
   // The places to ask as long as they answer, the best first.
-  void prefer(std::vector<Endpoint> best);
+  void prefer(const std::vector<RelayPlace>& best);
 
  private:
   void poll();
   void answered(std::optional<Frame> frame, Millis sentAt);
-  void failed(std::chrono::milliseconds wait);
-  void learn(const std::vector<std::string>& core);
+  void failed(Millis wait);
   void go(const Endpoint& to);
   void leave();
+  void goBack();
+  std::vector<Endpoint> read(const std::vector<std::string>& addresses) const;
   void next();
-  void again(std::chrono::milliseconds wait);
+  void again(Millis wait);
 
   boost::asio::io_context& io_;
   std::vector<Endpoint> preferred_, candidates_;
@@ -56,10 +56,8 @@
   unsigned failures_ = 0;
   bool known_ = false;  // by the one that is asked
   bool waits_ = false;  // for its time to ask, which may be brought forward
-  bool urgent_ = false;
-  std::chrono::steady_clock::time_point askedAt_, dueAt_, backAt_;
-  std::chrono::steady_clock::time_point
-      fullAt_;  // when all that changed is to be told, however urgent others are
+  FollowPace pace_;
+  Millis backAt_ = 0;
 };
 
 }  // namespace lilacmux
--- a/src/fleet/primary.cpp
+++ b/src/fleet/primary.cpp
@@ -27,38 +27,37 @@
 }
 
 void Primary::note(Millis now, const FollowCall& call) {
-  std::erase_if(relays_, [&](const auto& entry) {
-    return now - entry.second.at > kRelayKept || entry.second.place.address == call.address;
+  const auto gone = std::erase_if(relays_, [&](const auto& entry) {
+    return now - entry.second.at > kRelayKept ||
+           (entry.second.place.address == call.address && entry.first != call.name);
   });
-  relays_[call.name] = {{call.address, call.zone}, call.gatekeepers, now};
+  const auto [at, fresh] = relays_.try_emplace(call.name);
+  at->second = {{call.address, call.zone}, call.gatekeepers, now};
+  if (gone > 0 || fresh) relaysAre_ = hashOf(places());
+}
+
+std::vector<RelayPlace> Primary::places() const {
+  std::vector<RelayPlace> out;
+  for (const auto& [name, relay] : relays_) out.push_back(relay.place);
+  return out;
 }
 
 void Primary::feed(Millis now, const FollowCall& call, bool named, FollowAnswer& out) {
   out.epoch = log_.epoch();
   out.news = log_.since(call.epoch, call.place, call.revision);
   note(now, call);
-  std::vector<RelayPlace> places;
-  for (const auto& [name, relay] : relays_) {
-    places.push_back(relay.place);
-    out.gatekeepers += relay.gatekeepers;
-  }
-  out.relaysAre = hashOf(places);
-  if (out.relaysAre != call.relays) out.relays = std::move(places);
+  for (const auto& [name, relay] : relays_) out.gatekeepers += relay.gatekeepers;
+  out.relaysAre = relaysAre_;
+  if (relaysAre_ != call.relays) out.relays = places();
   out.known = named;
   if (!named) return;
   if (call.settled) {
     shares_.settled(now, plainName(call.name));
     if (retries_) retries_->settled(now, plainName(call.name));
   }
-  auto shares = shares_.turn(now, call.name, call.demands, call.whole);
-  out.known = shares.known;
-  out.grant = shares.grant;
-  out.grants = std::move(shares.grants);
-  if (!retries_) return;
-  auto retries = retries_->turn(now, call.name, call.requests, call.retries, call.whole);
-  out.known = out.known && retries.known;
-  out.retryGrant = retries.grant;
-  out.retries = std::move(retries.grants);
+  std::optional<ShareLedger::Turn> retries;
+  if (retries_) retries = retries_->turn(now, call.name, call.requests, call.retries, call.whole);
+  out.lend(shares_.turn(now, call.name, call.demands, call.whole), std::move(retries));
 }
 
 }  // namespace lilacmux
--- a/src/fleet/primary.hpp
+++ b/src/fleet/primary.hpp
@@ -45,12 +45,14 @@
     Millis at = 0;
   };
   void note(Millis now, const FollowCall& call);
+  std::vector<RelayPlace> places() const;
 
   const QuotaRule rule_;
   ChangeLog log_;
   ShareLedger shares_;
   std::optional<RetryLedger> retries_;  // where there is a budget
   std::map<std::string, Told> relays_;  // by name
+  std::uint64_t relaysAre_ = 0;         // names the list of them
 };
 
 }  // namespace lilacmux
--- a/src/fleet/relay.cpp
+++ b/src/fleet/relay.cpp
@@ -61,17 +61,12 @@
     out.relays = orderedFor(call.name, call.zone, relays_, kRelaysTold);
   }
   if (!call.requests.empty()) requests_.report(now, call.name, call.requests);
-  auto quotas = quotas_.turn(now, call.name, call.demands, call.whole);
-  auto retries = retries_.turn(now, call.name, call.retries, call.whole);
-  out.known = quotas.known && retries.known;
-  out.grant = quotas.grant;
-  out.grants = std::move(quotas.grants);
-  out.retryGrant = retries.grant;
-  out.retries = std::move(retries.grants);
+  out.lend(quotas_.turn(now, call.name, call.demands, call.whole),
+           retries_.turn(now, call.name, call.retries, call.whole));
   return out;
 }
 
-FollowCall Relay::asks(Millis now, bool whole, bool urgent) {
+FollowCall Relay::asks(Millis now, ShareTell what) {
   FollowCall out;
   out.name = name_;
   out.zone = at_.zone;
@@ -81,14 +76,11 @@
   out.epoch = log_.epoch();
   out.place = log_.place();
   out.revision = log_.revision();
-  out.whole = whole;
+  out.whole = what == ShareTell::whole;
   out.relays = relaysAre_;
-  const auto what = whole    ? ShareRelay::Tell::whole
-                    : urgent ? ShareRelay::Tell::urgent
-                             : ShareRelay::Tell::changes;
   out.demands = quotas_.demands(now, what);
   out.retries = retries_.demands(now, what);
-  if (!urgent) out.requests = requests_.rates();
+  if (what != ShareTell::urgent) out.requests = requests_.rates();
   return out;
 }
 
--- a/src/fleet/relay.hpp
+++ b/src/fleet/relay.hpp
@@ -33,7 +33,7 @@
 
   // Towards the primary.
   bool isShort() const { return quotas_.isShort() || retries_.isShort(); }
-  FollowCall asks(Millis now, bool whole, bool urgent);
+  FollowCall asks(Millis now, ShareTell what);
   void news(Millis now, const FollowAnswer& answer, Millis sentAt);
   void lost();
 
--- a/src/fleet/wire.cpp
+++ b/src/fleet/wire.cpp
@@ -48,7 +48,14 @@
 
 }  // namespace
 
-std::string plainName(const std::string& name) { return name.substr(0, name.find('#')); }
+void FollowAnswer::lend(ShareLedger::Turn&& quotas, std::optional<ShareLedger::Turn>&& retried) {
+  known = quotas.known && (!retried || retried->known);
+  grant = quotas.grant;
+  grants = std::move(quotas.grants);
+  if (!retried) return;
+  retryGrant = retried->grant;
+  retries = std::move(retried->grants);
+}
 
 Frame toFrame(const FollowCall& call) {
   Frame out;
--- a/src/fleet/wire.hpp
+++ b/src/fleet/wire.hpp
@@ -36,9 +36,6 @@
   bool settled = false;  // its gatekeepers had the time to tell what they hold of a life before this one
 };
 
-// A relay's name without the number of its life.
-std::string plainName(const std::string& name);
-
 struct FollowAnswer {
   std::string leader;       // not empty: ask there
   std::uint64_t epoch = 0;  // 0: ask elsewhere
@@ -53,6 +50,9 @@
   std::vector<std::string> core;  // its members, as the one that answers knows them
   std::uint64_t relaysAre = 0;
   std::vector<RelayPlace> relays;  // where the list is another than the caller's; the best to ask first
+
+  // What has come of the caller's turns at the ledgers here; no second one: there is no budget.
+  void lend(ShareLedger::Turn&& quotas, std::optional<ShareLedger::Turn>&& retried);
 };
 
 Frame toFrame(const FollowCall& call);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -37,8 +37,6 @@
 constexpr auto kBudgetLook = 12ms;         // until a further try looks again for room in the budget
 constexpr unsigned kBudgetLooks = 3;       // the control plane has answered by then
 constexpr double kLeastTokenWait = 50;     // ms that a request waits for a token on its way
-constexpr auto kWaitingGap = 2ms;          // between two calls where requests wait for tokens
-constexpr auto kLowGap = 25ms;             // or a stock is low
 constexpr double kGraceKept = 900;         // ms of the grace period, for the last answers' way
 
 std::chrono::steady_clock::duration span(double ms) {
@@ -150,7 +148,7 @@
                      });
   follower_ = std::make_unique<Follower>(
       io_, candidates(settings_),
-      Follower::Host{[this](bool whole, bool urgent) { return asks(whole, urgent); },
+      Follower::Host{[this](ShareTell what) { return asks(what); },
                      [this](const FollowAnswer& answer, double sentAt) { news(answer, sentAt); },
                      [this] {
                        admission_.lost();
@@ -159,12 +157,7 @@
                      },
                      log_,
                      [this] {
-                       FollowCall out;
-                       out.name = settings_.name;
-                       out.zone = settings_.zone;
-                       out.epoch = epoch_, out.place = place_;
-                       out.revision = table_ ? table_->revision() : 0;
-                       out.relays = relaysAre_;
+                       FollowCall out = place();
                        out.whole = true;
                        return out;
                      }});
@@ -240,21 +233,25 @@
 // --- From the control plane
 // ------------------------------------------------------------------------------------
 
-FollowCall Gateway::asks(bool whole, bool urgent) {
+// Who asks, and from what place on.
+FollowCall Gateway::place() const {
   FollowCall out;
   out.name = settings_.name;
   out.zone = settings_.zone;
   out.epoch = epoch_;
   out.place = place_;
   out.revision = table_ ? table_->revision() : 0;
-  out.whole = whole;
-  out.relays = whole ? 0 : relaysAre_;
-  const auto what = whole    ? Admission::Tell::whole
-                    : urgent ? Admission::Tell::urgent
-                             : Admission::Tell::changes;
+  out.relays = relaysAre_;
+  return out;
+}
+
+FollowCall Gateway::asks(ShareTell what) {
+  FollowCall out = place();
+  out.whole = what == ShareTell::whole;
+  if (out.whole) out.relays = 0;
   out.demands = admission_.demands(now(), what);
   if (!limitsRetries(settings_)) return out;
-  if (!urgent) out.requests = requests_.perSecond(now());
+  if (what != ShareTell::urgent) out.requests = requests_.perSecond(now());
   out.retries = retries_.demands(now(), what);
   return out;
 }
@@ -278,9 +275,7 @@
   for (const ShareGrant& grant : answer.retries) retries_.take(now(), grant, answer.retryGrant);
   if (!answer.relays.empty()) {
     relaysAre_ = answer.relaysAre;
-    std::vector<Endpoint> best;
-    for (const RelayPlace& relay : answer.relays) best.push_back(parseAddress(relay.address, "relays"));
-    follower_->prefer(std::move(best));
+    follower_->prefer(answer.relays);
   }
   lookAtParked();
 }
@@ -412,7 +407,7 @@
 void Gateway::hurry() {
   const auto need = std::max(admission_.need(), retries_.need());
   if (need != Admission::Need::none)
-    follower_->hurry(need == Admission::Need::waiting ? kWaitingGap : kLowGap);
+    follower_->hurry(need == Admission::Need::waiting ? FollowPace::kWaitingGap : FollowPace::kLowGap);
 }
 
 void Gateway::refuseQuota(const Parked& request, Time wait) const {
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -98,7 +98,8 @@
   void log(const std::string& line) override { log_(line); }
 
   std::string status() const;
-  FollowCall asks(bool whole, bool urgent);
+  FollowCall place() const;
+  FollowCall asks(ShareTell what);
   void news(const FollowAnswer& answer, double sentAt);
   void configure(const std::string& body);
   void servers(const ChangeLog::News& news);
--- a/src/quota/admission.hpp
+++ b/src/quota/admission.hpp
@@ -40,9 +40,7 @@
   // The tenants that have a limit in the configuration in force; all others pass.
   void limited(const std::vector<std::string>& tenants);
 
-  // What is to be told: of all tenants that something is held of; else of those that something came of since
-  // they were told of last; `urgent`: of those alone that need something now.
-  enum class Tell { whole, changes, urgent };
+  using Tell = ShareTell;
   std::vector<ShareDemand> demands(Millis now, Tell what);
   // The call with the last demands was answered: it was sent then, and what is lent ends then.
   void heard(Millis now, Millis sentAt, Millis leaseUntil);
--- a/src/quota/share_ledger.cpp
+++ b/src/quota/share_ledger.cpp
@@ -16,10 +16,15 @@
     0.2;                         // of the room beyond the limit that goes to the rate, the rest to the burst
 constexpr double kGrain = 1000;  // tokens and rates are lent in thousandths: short on the wire, and exact
 
+// Of what waits, what its own stock does not serve.
+double unserved(double waiting, double stock) { return std::max(0.0, waiting - std::max(0.0, stock)); }
+
 double grained(double value) { return std::floor(value * kGrain) / kGrain; }
 
 }  // namespace
 
+std::string plainName(const std::string& holder) { return holder.substr(0, holder.find('#')); }
+
 Quota QuotaRule::within(double ratePerS, double burst) const {
   const double limit = ratePerS * windowS + burst;
   const double beyond = (limit * overage + slack) * (1 - kept);
@@ -77,6 +82,17 @@
   for (auto& [tenant, ledger] : ledgers_) fill(ledger, now);
 }
 
+template <class Look>
+void ShareLedger::eachSilent(Ledger& ledger, Millis now, Look look) {
+  for (const auto& [heardAt, name] : byAge_) {
+    if (heardAt + timing_.reservedAfter >= now) break;
+    const auto found = ledger.holdings.find(name);
+    if (found == ledger.holdings.end()) continue;
+    ++looks_;
+    look(found->second, heardAt);
+  }
+}
+
 // The rate, less what holders that are silent may let in by themselves: that goes to their stocks as this
 // ledger counts them.
 void ShareLedger::fill(Ledger& ledger, Millis now) {
@@ -89,28 +105,25 @@
               ledger.quota.rate * (now - quietTo)) /
              1000;
   }
-  for (const auto& [heardAt, name] : byAge_) {
-    if (heardAt + timing_.reservedAfter >= now) break;
-    const auto found = ledger.holdings.find(name);
-    if (found == ledger.holdings.end()) continue;
-    ++looks_;
+  eachSilent(ledger, now, [&](Holding& silent, Millis heardAt) {
     const Millis from = std::max(ledger.at, heardAt + timing_.reservedAfter);
     const Millis to = std::min(now, heardAt + timing_.lease);
-    if (to <= from) continue;
-    const double reserved = found->second.lent() * (to - from) / 1000;
-    count(ledger, found->second, -1);
-    found->second.stock += reserved;
-    count(ledger, found->second, +1);
+    if (to <= from) return;
+    const double reserved = silent.lent() * (to - from) / 1000;
+    count(ledger, silent, -1);
+    silent.stock += reserved;
+    count(ledger, silent, +1);
     tokens -= reserved;
-  }
+  });
   ledger.at = now;
   ledger.bucket += tokens;
   if (fills_ == Fills::byQuota) ledger.bucket = std::min(ledger.bucket, ledger.room());
 }
 
-void ShareLedger::drop(Millis now, const std::string& holder) {
+// All that it holds, but of these tenants.
+void ShareLedger::drop(Millis now, const std::string& holder, const std::set<std::string>& but) {
   for (auto& [tenant, ledger] : ledgers_) {
-    const auto found = ledger.holdings.find(holder);
+    const auto found = but.contains(tenant) ? ledger.holdings.end() : ledger.holdings.find(holder);
     if (found == ledger.holdings.end()) continue;
     fill(ledger, now);
     count(ledger, found->second, -1);
@@ -125,7 +138,7 @@
 void ShareLedger::hear(Millis now, const std::string& holder) {
   while (!byAge_.empty() && now - byAge_.begin()->first >= timing_.lease) {
     const std::string gone = byAge_.begin()->second;
-    drop(now, gone);
+    drop(now, gone, {});
     byAge_.erase(byAge_.begin());
     holders_.erase(gone);
   }
@@ -156,8 +169,8 @@
   mine.want = demand.want;
 }
 
-// Its part of the rate, half evenly and half by what it usually asks for, as far as others do not still hold
-// it.
+// Its part of the rate, partly evenly and partly by what it usually asks for, as far as others do not still
+// hold it.
 double ShareLedger::rateFor(const Ledger& ledger, const Holding& mine) const {
   const double count = static_cast<double>(std::max<std::size_t>(1, ledger.holdings.size()));
   const double byDemand = ledger.usual > 0 ? std::max(0.0, mine.usual) / ledger.usual : 1 / count;
@@ -180,8 +193,8 @@
   const double bucket = std::max(0.0, ledger.bucket);
   const bool scarce = bucket < ledger.wants + ledger.waiting - ledger.out && ledger.perS > ledger.quota.rate;
   const double part = scarce && target > 0 ? 2 * mine.perS / std::max(ledger.perS, 1e-9) : 1.0;
-  const double unserved = std::max(0.0, mine.waiting - std::max(0.0, mine.stock));
-  double tokens = std::max(std::min(missing, bucket * std::min(1.0, part)), std::min(unserved, bucket));
+  double tokens = std::max(std::min(missing, bucket * std::min(1.0, part)),
+                           std::min(unserved(mine.waiting, mine.stock), bucket));
   // Where nothing is held beside what is needed at once, parts of a token would only lie about.
   if (target <= 0) tokens = std::max(0.0, std::floor(mine.stock + tokens + 1e-9) - std::max(0.0, mine.stock));
   return grained(std::max(0.0, tokens));
@@ -194,9 +207,8 @@
 }
 
 bool ShareLedger::isGone(Millis now, const std::string& name) const {
-  return !isQuiet(now) && std::none_of(holders_.begin(), holders_.end(), [&](const auto& entry) {
-    return entry.first.substr(0, entry.first.find('#')) == name;
-  });
+  return !isQuiet(now) && std::none_of(holders_.begin(), holders_.end(),
+                                       [&](const auto& entry) { return plainName(entry.first) == name; });
 }
 
 ShareLedger::Turn ShareLedger::turn(Millis now, const std::string& holder,
@@ -214,13 +226,7 @@
   if (whole) {
     std::set<std::string> named;
     for (const ShareDemand& demand : demands) named.insert(demand.tenant);
-    for (auto& [tenant, ledger] : ledgers_) {
-      const auto found = named.contains(tenant) ? ledger.holdings.end() : ledger.holdings.find(holder);
-      if (found == ledger.holdings.end()) continue;
-      fill(ledger, now);
-      count(ledger, found->second, -1);
-      ledger.holdings.erase(found);
-    }
+    drop(now, holder, named);
     settled(now, holder);
   }
   out.grant = ++lastGrant_;
@@ -245,9 +251,9 @@
     count(ledger, mine, -1);
     mine.offered = offered;
     // What waits uses its tokens at once, long before that is told: they are gone from here on.
-    const double unserved = std::max(0.0, mine.waiting - std::max(0.0, mine.stock));
-    const double used = std::clamp(given, 0.0, unserved);
-    mine.waiting = unserved - used;
+    const double lacks = unserved(mine.waiting, mine.stock);
+    const double used = std::clamp(given, 0.0, lacks);
+    mine.waiting = lacks - used;
     mine.given = given - used;
     count(ledger, mine, +1);
     if (given > 0) ledger.bucket -= given;
@@ -263,16 +269,12 @@
   fill(ledger, now);
   Sum out{
       ledger.perS, ledger.bucket + ledger.out, ledger.waiting, ledger.lent, ledger.bucket, ledger.wants, 0};
-  for (const auto& [heardAt, name] : byAge_) {
-    if (heardAt + timing_.reservedAfter >= now) break;
-    const auto silent = ledger.holdings.find(name);
-    if (silent == ledger.holdings.end()) continue;
-    ++looks_;
-    out.idle += std::max(0.0, silent->second.stock) + std::max(0.0, silent->second.given);
-    out.wants -= silent->second.want;
-    out.perS -= silent->second.perS;
-    out.waiting -= silent->second.waiting;
-  }
+  eachSilent(ledger, now, [&](const Holding& silent, Millis) {
+    out.idle += std::max(0.0, silent.stock) + std::max(0.0, silent.given);
+    out.wants -= silent.want;
+    out.perS -= silent.perS;
+    out.waiting -= silent.waiting;
+  });
   return out;
 }
 
--- a/src/quota/share_ledger.hpp
+++ b/src/quota/share_ledger.hpp
@@ -52,6 +52,14 @@
   bool more = false;  // what it waits for may be there in a moment
 };
 
+// What of its holdings a holder tells: all of them; those that something came of since they were told; or of
+// those alone the ones that need something at once.
+enum class ShareTell { whole, changes, urgent };
+
+// A holder's name may go on behind a `#` with the number of its life, since what a process has lent on
+// outlives it. The name without that.
+std::string plainName(const std::string& holder);
+
 // Both ends go by these; ms.
 struct ShareTiming {
   double lease = 4000;         // a stock and a lent rate end so long after the holder last asked
@@ -110,8 +118,7 @@
   Sum sum(Millis now, const std::string& tenant);
 
   std::size_t holders(Millis now) const;
-  // Whether nobody of this name can have anything: none was heard for a lease's time. A holder's name may go
-  // on behind a `#` with the number of its life.
+  // Whether nobody of this name can have anything: none was heard for a lease's time.
   bool isGone(Millis now, const std::string& name) const;
   // Ledgers and holdings looked at so far: what the work grows with.
   std::uint64_t looks() const { return looks_; }
@@ -139,7 +146,10 @@
   };
   bool isQuiet(Millis now) const { return !awaited_.empty() && now < quietUntil_; }
   void hear(Millis now, const std::string& holder);
-  void drop(Millis now, const std::string& holder);
+  void drop(Millis now, const std::string& holder, const std::set<std::string>& but);
+  // Calls `look` with each holding of holders that were not heard for `reservedAfter`, and when they were.
+  template <class Look>
+  void eachSilent(Ledger& ledger, Millis now, Look look);
   void fillAll(Millis now);
   void fill(Ledger& ledger, Millis now);
   static void count(Ledger& ledger, const Holding& holding, int sign);
--- a/src/quota/share_relay.cpp
+++ b/src/quota/share_relay.cpp
@@ -27,6 +27,11 @@
   ledger_.emplace(ShareLedger::Fills::bySupply, below_, now, std::set<std::string>{}, firstGrant_);
 }
 
+// A bucket here has no limit of its own: it holds what it was given.
+void ShareRelay::lendOn(Millis now, const std::string& tenant, double rate) {
+  ledger_->limit(now, tenant, {rate, std::numeric_limits<double>::infinity()});
+}
+
 void ShareRelay::fillAlone(Millis now, const std::string& tenant) {
   Held& held = held_[tenant];
   const Millis from = std::max(held.filledTo, sentAt_ + above_.aloneAfter);
@@ -48,10 +53,7 @@
 ShareLedger::Turn ShareRelay::turn(Millis now, const std::string& gatekeeper,
                                    const std::vector<ShareDemand>& demands, bool whole) {
   for (const ShareDemand& demand : demands)
-    if (!held_.contains(demand.tenant)) {
-      held_[demand.tenant];
-      ledger_->limit(now, demand.tenant, {0, std::numeric_limits<double>::infinity()});
-    }
+    if (held_.try_emplace(demand.tenant).second) lendOn(now, demand.tenant, 0);
   for (const ShareDemand& demand : demands) fillAlone(now, demand.tenant);
   auto out = ledger_->turn(now, gatekeeper, demands, whole);
   if (!out.known) return out;
@@ -97,7 +99,7 @@
     begin(now);
     for (auto& [tenant, held] : held_) {
       held = {};
-      ledger_->limit(now, tenant, {0, std::numeric_limits<double>::infinity()});
+      lendOn(now, tenant, 0);
     }
   }
   sentAt_ = sentAt;
@@ -111,7 +113,7 @@
   if (grant.tokens != 0 || std::abs(grant.rate - held.rate) > kTellBy * held.rate)
     changed_.insert(grant.tenant);
   held.rate = grant.rate;
-  ledger_->limit(now, grant.tenant, {grant.rate, std::numeric_limits<double>::infinity()});
+  lendOn(now, grant.tenant, grant.rate);
   ledger_->supply(now, grant.tenant, grant.tokens);
   if (held.asksFor > 0 && grant.tokens < held.asksFor - 0.01) held.dryUntil = now + kDryFor;
 }
--- a/src/quota/share_relay.hpp
+++ b/src/quota/share_relay.hpp
@@ -1,8 +1,7 @@
 // A relay's part of the quotas: it holds a share of each tenant's, and lends it on to the gatekeepers near
 // it. To the primary it is one holder; what its gatekeepers have in their stocks is part of its own. What
-// they are lent ends when what it was lent itself does. While it hears
-// nothing of the primary it goes by its lent rate, on behalf of all its gatekeepers together. A state machine
-// without a clock.
+// they are lent ends when what it was lent itself does. While it hears nothing of the primary it goes by its
+// lent rate, on behalf of all its gatekeepers together. A state machine without a clock.
 #pragma once
 
 #include <cstdint>
@@ -30,13 +29,11 @@
 
   // Whether more should be asked for at once.
   bool isShort() const { return !short_.empty(); }
-  enum class Tell { whole, changes, urgent };
+  using Tell = ShareTell;
   std::vector<ShareDemand> demands(Millis now, Tell what);
   void heard(Millis now, Millis sentAt, Millis leaseUntil);
   void take(Millis now, const ShareGrant& grant, std::uint64_t number);
   void lost();
-  Millis leaseUntil() const { return leaseUntil_; }
-  std::uint64_t looks() const { return ledger_->looks(); }
 
  private:
   struct Held {
@@ -48,6 +45,7 @@
     double asksFor = 0;       // and needs so many tokens at once
   };
   void begin(Millis now);
+  void lendOn(Millis now, const std::string& tenant, double rate);
   bool isAlone(Millis now) const { return now >= sentAt_ + above_.aloneAfter; }
   void fillAlone(Millis now, const std::string& tenant);
   void note(Millis now, const std::string& tenant);
