Let a request that waited for a token keep the deadline that it came with

Cause: a request that was let in after it had waited for a token, up to 0.22 of its aim, got its whole patience again from there on, so it could be held, and a server told to work on it, beyond the time that its client waits.

Change: the end is reckoned when it comes and kept; and nothing waits for a token beyond it. No test of its own: the waits on the whole path are a few ms, which no check without a clock of its own tells apart.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -388,13 +388,20 @@
     return asker->answer(std::move(out));
   }
   if (table_->configuration().hasTenants) tenant = table_->holder(view(message["X-Api-Key"]));
-  Parked request{id, call, std::move(message), asker, table_, route, tenant ? tenant->name : "", 0};
+  Parked request{id,
+                 at + std::max(0.0, call.patience - kWayBack),
+                 std::move(message),
+                 asker,
+                 table_,
+                 route,
+                 tenant ? tenant->name : "",
+                 0};
   if (!tenant) return admit(std::move(request));
   const auto verdict = admission_.ask(at, tenant->name, chance());
   if (verdict.admitted) {
     admit(std::move(request));
   } else if (verdict.onItsWay) {
-    request.until = at + tokenWait(*route);
+    request.until = std::min(at + tokenWait(*route), request.expires);
     parked_.push_back(std::move(request));
     sweepParked();
   } else {
@@ -468,7 +475,7 @@
   requests_.count(*held.service);
   held.message = std::move(in.message);
   held.asker = std::move(in.asker);
-  held.expires = at + std::max(0.0, in.call.patience - kWayBack);
+  held.expires = in.expires;
   held.deadline.expires_after(span(held.expires - at));
   held.deadline.async_wait([this, id](const burlwind::Error& error) {
     if (!error) expire(id);
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -69,7 +69,7 @@
   // A request whose tenant has no token here, while one is on its way.
   struct Parked {
     RequestId id = 0;
-    Call call;
+    Time expires = 0;  // counted from when it came
     burlwind::ClientMessage message;
     std::shared_ptr<burlwind::Asker> asker;
     std::shared_ptr<const RouteTable> table;
