Let large answers through a machine's link step by step, so that small ones pass

Cause: on the grown sites a gatekeeper has a link of 5 or 19 Mbit/s, and each download filled its queue for up to 150 ms in each direction. A receive buffer's size and a clamped window change nothing there: a server has 80 KB under way whatever is asked.

Change: LinkPace, a core that models a link's queue; what is large is called for, and written, when it is short, each in its turn. A download's try starts when those before it are through. A token is waited for as much longer as the link is known to be filled.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -46,8 +46,10 @@
 
 std::size_t serverSockets(const NodeSettings& s) { return (s.descriptors - kSparedSockets) / 3; }
 
-burlwind::ClientServer::Limits clientLimits(const NodeSettings& s, const RequestLimits& limits) {
+burlwind::ClientServer::Limits clientLimits(const NodeSettings& s, const RequestLimits& limits,
+                                            burlwind::LinkGate& link) {
   burlwind::ClientServer::Limits out;
+  out.link = &link;
   out.connections = s.descriptors - kSparedSockets - serverSockets(s);
   out.ahead = kAhead;
   out.idleFor = std::chrono::milliseconds(std::lround(limits.idleTimeoutMs));
@@ -57,8 +59,9 @@
   return out;
 }
 
-burlwind::WorkerPool::Limits poolLimits(const NodeSettings& s) {
+burlwind::WorkerPool::Limits poolLimits(const NodeSettings& s, burlwind::LinkGate& link) {
   burlwind::WorkerPool::Limits out;
+  out.link = &link;
   out.connectTimeout = 400ms;
   out.idleFor = 7000ms;
   out.total = serverSockets(s);
@@ -104,8 +107,8 @@
   return true;
 }
 
-// A link that carries a download holds a token up for a while. Whoever is refused within a quarter of its aim
-// has time to come back.
+// Whoever is refused within a quarter of its aim has time to come back. What the machine's own link holds a
+// token up for is no sign that there is none, and comes on top.
 double tokenWait(const Route& route) { return std::max(kLeastTokenWait, 0.22 * route.aimMs); }
 
 Answer text(http::status status, const char* what) {
@@ -127,10 +130,12 @@
       settings_(checked(settings)),
       log_(std::move(log)),
       budget_(budgetOf(settings)),
+      inwards_(io, settings.networkMbps),
+      outwards_(io, settings.networkMbps),
       figures_({"idempotent", "non_idempotent", "download"}),
-      pool_(io, poolLimits(settings), budget_, figures_, answers_, *this,
+      pool_(io, poolLimits(settings, inwards_), budget_, figures_, answers_, *this,
             [this](AttemptEnd&& end) { ended(std::move(end)); }),
-      server_(io, *settings.frontend, clientLimits(settings, {}), budget_, figures_, *this),
+      server_(io, *settings.frontend, clientLimits(settings, {}, outwards_), budget_, figures_, *this),
       random_(std::hash<std::string>{}(settings.name)),
       drain_(io),
       sweep_(io) {
@@ -291,7 +296,7 @@
     if (tenant.ratePerS > 0) limited.push_back(tenant.name);
   admission_.limited(limited);
   if (limitsRetries(settings_)) retries_.limited(servicesOf(configuration));
-  server_.limits(clientLimits(settings_, configuration.limits));
+  server_.limits(clientLimits(settings_, configuration.limits, outwards_));
   table_ = std::make_shared<const RouteTable>(std::move(configuration));
   log_("configuration " + std::to_string(table_->revision()) + " is in force");
 }
@@ -401,7 +406,7 @@
   if (verdict.admitted) {
     admit(std::move(request));
   } else if (verdict.onItsWay) {
-    request.until = std::min(at + tokenWait(*route), request.expires);
+    request.until = std::min(at + tokenWait(*route) + inwards_.queue() + outwards_.queue(), request.expires);
     parked_.push_back(std::move(request));
     sweepParked();
   } else {
@@ -649,19 +654,27 @@
   const auto found = held_.find(id);
   if (found == held_.end()) return;
   Held& held = found->second;
-  const Time left = held.expires - now();
   out_[id] = lane.shared_from_this();
+  const unsigned attempt = held.attempts++;
+  if (held.route->type != RouteType::download) return start(id, attempt, server, timeout);
+  // Its answer comes at full speed from its begin on, so it begins when those before it are through.
+  inwards_.enter([this, id, attempt, server, timeout] { start(id, attempt, server, timeout); });
+}
+
+void Gateway::start(RequestId id, unsigned attempt, WorkerId server, Time timeout) {
+  const auto found = held_.find(id);
+  const Time left = found == held_.end() ? 0 : found->second.expires - now();
   if (left <= 0)
-    return burlwind::reportMoot(io_, id, held.attempts++, server,
+    return burlwind::reportMoot(io_, id, attempt, server,
                                 [this](AttemptEnd&& end) { ended(std::move(end)); });
+  Held& held = found->second;
   if (held.further == Held::Further::paid) held.further = Held::Further::out;
   const bool early = timeout > 0 && timeout < left;
   if (!held.body) prepare(held);
   burlwind::Message message{held.head, held.body, static_cast<unsigned>(held.route->type), held.attempt};
   message.head += "X-Expected-Instance: " + names_[server] + "\r\nX-Deadline-Remaining-Ms: " +
                   std::to_string(std::max(1L, std::lround(std::floor(left)))) + "\r\n\r\n";
-  pool_.start(id, held.attempts++, server, std::move(message),
-              early ? std::optional(span(timeout)) : std::nullopt);
+  pool_.start(id, attempt, server, std::move(message), early ? std::optional(span(timeout)) : std::nullopt);
 }
 
 void Gateway::refuse(RequestId id, Time retryAfter) { giveUp(id, retryAfter); }
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -112,6 +112,7 @@
   void sweepParked();
   void hurry();
 
+  void start(RequestId id, unsigned attempt, irisring::WorkerId server, Time timeout);
   void ended(burlwind::AttemptEnd&& end);
   bool pays(Held& held);
   void settle(Held& held, bool arrived);
@@ -131,6 +132,7 @@
   NodeSettings settings_;
   const Log log_;
   burlwind::Budget budget_;
+  burlwind::LinkGate inwards_, outwards_;
   burlwind::Figures figures_;
   const ServerAnswers answers_;
   burlwind::WorkerPool pool_;
--- a/src/node/client_server.cpp
+++ b/src/node/client_server.cpp
@@ -431,16 +431,39 @@
 
   void write() {
     if (writes_) return;
+    writes_ = true;
     writing_.swap(out_);
+    bodyWritten_ = 0;
+    writeStep();
+  }
+
+  std::size_t mostAtOnce() const {
+    return server_.limits_.link ? server_.limits_.link->pace().step() : body_.size();
+  }
+
+  // The head, and what there is of the body; of a large one as much as goes through the link in one step.
+  void writeStep() {
+    const bool bulk = (state_ == State::answering || state_ == State::streaming) && body_.size() > 0;
+    if (!bulk || !server_.limits_.link || body_.size() < mostAtOnce() / 2) return writeNow();
+    timer_.cancel();
+    server_.limits_.link->enter([self = shared_from_this(), this] {
+      if (state_ != State::closed) writeNow();
+    });
+  }
+
+  void writeNow() {
     const bool whole = state_ == State::answering, part = state_ == State::streaming;
     if (whole || part) arm(server_.limits_.writeWithin);
-    writes_ = true;
-    const std::array<asio::const_buffer, 2> all{asio::buffer(writing_),
-                                                whole || part ? asio::buffer(body_) : asio::const_buffer{}};
-    asio::async_write(socket_, all, guard([this, whole, part](const Error& error, std::size_t) {
+    const std::size_t left = whole || part ? body_.size() - bodyWritten_ : 0;
+    const std::array<asio::const_buffer, 2> all{
+        asio::buffer(writing_), asio::buffer(body_.data() + bodyWritten_, std::min(left, mostAtOnce()))};
+    asio::async_write(socket_, all, guard([this, whole, part](const Error& error, std::size_t n) {
                         if (error) return close();
-                        writes_ = false;
+                        if (server_.limits_.link) server_.limits_.link->passed(n);
+                        bodyWritten_ += n - writing_.size();
                         writing_.clear();
+                        if ((whole || part) && bodyWritten_ < body_.size()) return writeStep();
+                        writes_ = false;
                         if (whole) return written();
                         if (part) return partWritten();
                         if (!out_.empty()) write();
@@ -484,6 +507,7 @@
   std::optional<Call> call_;                                       // once its head is read
   std::deque<std::shared_ptr<Ahead>> ahead_;                       // in the order of their turns
   std::string out_, writing_, body_;
+  std::size_t bodyWritten_ = 0;
   State state_ = State::reading;
   http::status status_ = http::status::ok;  // of the answer under way
   Standing standing_ = unfinished;
--- a/src/node/client_server.hpp
+++ b/src/node/client_server.hpp
@@ -14,6 +14,7 @@
 #include <string>
 #include <variant>
 
+#include "net/link_gate.hpp"
 #include "node/budget.hpp"
 #include "node/call.hpp"
 #include "node/figures.hpp"
@@ -83,6 +84,7 @@
     std::chrono::milliseconds awayAfter{1000};
     // Of a predecessor's idle connections, so long unused that hardly any closes just as its client uses it.
     std::chrono::milliseconds retireAfter{1500};
+    LinkGate* link = nullptr;  // the machine's, outwards: large answers are written in their turn
   };
 
   ClientServer(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& address,
--- a/src/node/worker_pool.cpp
+++ b/src/node/worker_pool.cpp
@@ -17,6 +17,7 @@
 using irisring::WorkerId;
 using Clock = std::chrono::steady_clock;
 
+constexpr std::uint64_t kUnknown = std::numeric_limits<std::uint64_t>::max();  // an answer's length
 constexpr unsigned kMostInterim = 8;  // 1xx answers, or surplus ones, ahead of one
 
 using AnswerBody = http::basic_dynamic_body<beast::flat_buffer>;
@@ -150,6 +151,7 @@
   // Ready for an answer.
   void await() {
     answering_ = passing_ = false;
+    called_ = 0;
     parser_.emplace();
     // What is held is bounded as it comes; without a limit Beast 1.74 takes no told length at all.
     parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
@@ -195,17 +197,54 @@
                       }));
   }
 
+  std::size_t stepOfBody() const {
+    const LinkGate* link = pool_.limits_.link;
+    return link ? link->pace().step() : kReadStepOfBody;
+  }
+
+  // More of an answer than goes through the link in one step.
+  bool isBulk() const {
+    if (!pool_.limits_.link || !busy_ || !parser_->is_header_done()) return false;
+    const auto length = parser_->content_length();
+    return streams_ || (length ? *length : parser_->get().body().size()) > stepOfBody();
+  }
+
+  // Each byte that is read of a large answer lets its server send another. Those are let on their way when
+  // the link has room, and what is on its way already is read as it comes.
   void read() {
+    if (!isBulk() || called_ >= parser_->content_length().value_or(kUnknown)) return readNow();
+    reading_ = true;
+    timer_.cancel();
+    pool_.limits_.link->enter([self = shared_from_this(), this] {
+      if (closed_) return;
+      if (busy_) awaitMore();
+      readNow();
+    });
+  }
+
+  // So many bytes were read: they passed the link, or as many are called for; those ahead of the reader are
+  // known of only where the answer's length is.
+  void count(std::size_t n) {
+    LinkGate* link = pool_.limits_.link;
+    if (!link) return;
+    const auto length = isBulk() ? parser_->content_length() : boost::none;
+    if (!length) return link->passed(n);
+    const std::uint64_t before = called_;
+    called_ = std::min<std::uint64_t>(*length, std::max<std::uint64_t>(called_, LinkPace::kAhead) + n);
+    link->passed(called_ - before);
+  }
+
+  void readNow() {
     const bool body = busy_ && parser_->is_header_done();
     if (!body && in_.size() == 0 && in_.capacity() > 2 * kReadStep) in_.shrink_to_fit();
     reading_ = true;
-    socket_.async_read_some(in_.prepare(body ? kReadStepOfBody : kReadStep),
+    socket_.async_read_some(in_.prepare(body ? stepOfBody() : kReadStep),
                             guard([this](const Error& error, std::size_t n) {
                               reading_ = false;
                               in_.commit(n);
                               if (!busy_) return pool_.drop(*this);
                               if (error) return broken(error);
-                              take();
+                              take(n);
                             }));
   }
 
@@ -221,11 +260,17 @@
     streams_ ? passOn() : answered();
   }
 
-  void take() {
-    if (!answering_) firstByteAt_ = Clock::now();
-    answering_ = true;
+  // The next bytes of the answer that has begun.
+  void awaitMore() {
     arm(streams_ ? Clock::now() + pool_.limits_.streamsOnWithin
                  : std::min(giveUpAt_, Clock::now() + pool_.limits_.goesOnWithin));
+  }
+
+  // `n`: bytes that have just come.
+  void take(std::size_t n = 0) {
+    if (!answering_) firstByteAt_ = Clock::now();
+    answering_ = true;
+    awaitMore();
     Error error;
     if (!parser_->is_header_done()) {
       const bool head = feed(*parser_, in_, error, Feed::head);
@@ -234,6 +279,7 @@
       if (head && !isOurs()) return end(Result::spoilt);
       if (head) verdict_ = pool_.reader_.read(parser_->get(), outcome_);
     }
+    count(n);
     const bool done = feed(*parser_, in_, error);
     if (error) return end(streams_ ? Result::reset : Result::spoilt);
     if (passing_) return passSurplus(done);
@@ -357,6 +403,7 @@
   Outcome outcome_;
   Result verdict_ = Result::spoilt;  // on the answer whose head has come
   Clock::time_point startedAt_, giveUpAt_, firstByteAt_;
+  std::uint64_t called_ = 0;  // bytes of a large answer that have come or are on their way
   unsigned interim_ = 0;
   bool up_ = false;
   bool busy_ = false;
--- a/src/node/worker_pool.hpp
+++ b/src/node/worker_pool.hpp
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "irisring/decide.hpp"
+#include "net/link_gate.hpp"
 #include "node/budget.hpp"
 #include "node/figures.hpp"
 #include "node/http.hpp"
@@ -72,6 +73,7 @@
     std::chrono::milliseconds streamsOnWithin{5000};  // the same where the client has its begin
     std::size_t total = 480;                          // connections to all workers
     std::size_t idlePerWorker = 64;
+    LinkGate* link = nullptr;  // the machine's, inwards: large answers are read in their turn
   };
   struct Place {
     boost::asio::ip::tcp::endpoint address;
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -137,6 +137,7 @@
   const json& limits = part(root, "requestLimits");
   out.memoryMb = count(limits, "memoryMb", out.memoryMb, 16);
   out.descriptors = count(limits, "maxFileDescriptors", out.descriptors, 300);
+  number(limits, "networkMbps", out.networkMbps);
   if (find(root, "dataDirectory")) out.dataDirectory = text(root, "dataDirectory");
   readBounds(root, out.bounds);
   out.machineFailures = std::max(1u, count(part(root, "faultTolerance"), "machineFailures", 1, 0));
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -41,6 +41,7 @@
   bool bootstrap = false;
   unsigned memoryMb = 256;
   unsigned descriptors = 1024;
+  double networkMbps = 0;  // of the machine's link; 0: not told
   std::optional<std::filesystem::path> dataDirectory;
   Bounds bounds;
   unsigned machineFailures = 1;  // machines with a disk that may be lost at once
