Read routes without a tree of them, find them by prefix, and drop the longest silent link

Cause: what was left that grows with routes and gatekeepers. A request went through its host's routes one after the other. Where a control process had all its connections, the oldest made room: a sound gatekeeper's, while those of machines without power stayed.

Change: a reader takes each route out of the tree as soon as it is whole; routes stand in one table by host and prefix, looked up by the slashes of a path up to the longest prefix; the longest silent connection goes first.

--- a/src/gateway/routes.cpp
+++ b/src/gateway/routes.cpp
@@ -19,20 +19,25 @@
 }  // namespace
 
 RouteTable::RouteTable(Configuration configuration) : configuration_(std::move(configuration)) {
-  for (const Route& route : configuration_.routes) hosts_[plainHost(route.host)].push_back(&route);
-  for (auto& [host, routes] : hosts_)
-    std::stable_sort(routes.begin(), routes.end(),
-                     [](const Route* a, const Route* b) { return a->prefix.size() > b->prefix.size(); });
+  for (const Route& route : configuration_.routes) {
+    routes_.try_emplace(plainHost(route.host) + route.prefix, &route);
+    longestPrefix_ = std::max(longestPrefix_, route.prefix.size());
+  }
   for (const Tenant& tenant : configuration_.tenants)
     for (const std::string& key : tenant.keys) keys_[key] = &tenant;
 }
 
 const Route* RouteTable::find(std::string_view host, std::string_view path) const {
   if (host.empty()) return nullptr;
-  const auto found = hosts_.find(plainHost(host));
-  if (found == hosts_.end()) return nullptr;
-  for (const Route* route : found->second)
-    if (path.starts_with(route->prefix)) return route;
+  std::string key = plainHost(host);
+  if (key.find('/') != std::string::npos) return nullptr;  // it would stand for a part of the path
+  const std::size_t ahead = key.size();
+  key.append(path.substr(0, longestPrefix_));
+  for (auto slash = key.rfind('/'); slash != std::string::npos && slash >= ahead; slash = key.rfind('/')) {
+    key.resize(slash + 1);
+    if (const auto found = routes_.find(key); found != routes_.end()) return found->second;
+    key.pop_back();
+  }
   return nullptr;
 }
 
--- a/src/gateway/routes.hpp
+++ b/src/gateway/routes.hpp
@@ -18,7 +18,8 @@
 
   std::uint64_t revision() const { return configuration_.revision; }
   const Configuration& configuration() const { return configuration_; }
-  // Of the host's routes the one with the longest prefix that begins the path; nullptr: none.
+  // Of the host's routes the one with the longest prefix that begins the path; nullptr: none. Costs by the
+  // slashes in as much of the path as a prefix may be, whatever the number of routes.
   const Route* find(std::string_view host, std::string_view path) const;
   // nullptr: no tenant holds this key.
   const Tenant* holder(std::string_view key) const;
@@ -35,7 +36,8 @@
   using ByText = std::unordered_map<std::string, T, Hash, std::equal_to<>>;
 
   const Configuration configuration_;
-  ByText<std::vector<const Route*>> hosts_;  // the longest prefix first
+  ByText<const Route*> routes_;    // by host and prefix, which begins and ends with a slash
+  std::size_t longestPrefix_ = 0;  // bytes
   ByText<const Tenant*> keys_;
 };
 
--- a/src/net/frames.cpp
+++ b/src/net/frames.cpp
@@ -1,5 +1,7 @@
 #include "net/frames.hpp"
 
+#include <netinet/tcp.h>
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
@@ -14,9 +16,12 @@
 using namespace std::chrono_literals;
 
 constexpr auto kConnectWithin = 150ms;  // a machine that is down says nothing: the next call tries anew
+constexpr auto kUnheardFor = 2000ms;    // what was sent, until the peer is held to be gone
 constexpr std::size_t kMostEarly = 64;  // frames that wait for a connection
 constexpr const char* kCallField = "#";
 
+using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+
 void appendLength(std::string& out, std::size_t value) {
   for (int shift = 24; shift >= 0; shift -= 8) out += static_cast<char>(value >> shift & 0xff);
 }
@@ -30,6 +35,7 @@
 void tune(tcp::socket& socket) {
   Error ignored;
   socket.set_option(tcp::no_delay(true), ignored);
+  socket.set_option(UserTimeout(static_cast<int>(kUnheardFor.count())), ignored);
 }
 
 }  // namespace
@@ -151,7 +157,8 @@
   const auto at = links_.insert(links_.end(), link);
   const std::weak_ptr<Link> weak = link;
   link->start(
-      [this, weak](Frame&& frame) {
+      [this, weak, at](Frame&& frame) {
+        links_.splice(links_.end(), links_, at);
         const auto number = frame.head.contains(kCallField) ? frame.head[kCallField] : nlohmann::json();
         handler_(std::move(frame), [weak, number](Frame&& answer) {
           const auto to = weak.lock();
--- a/src/net/frames.hpp
+++ b/src/net/frames.hpp
@@ -85,7 +85,7 @@
   const std::size_t most_;
   const Handler handler_;
   const Log log_;
-  std::list<std::shared_ptr<Link>> links_;  // the oldest first
+  std::list<std::shared_ptr<Link>> links_;  // the longest silent first, which makes room where there is none
   bool toldOfRubbish_ = false;
   burlwind::Acceptor acceptor_;
 };
--- a/src/settings/configuration.cpp
+++ b/src/settings/configuration.cpp
@@ -4,6 +4,8 @@
 #include <nlohmann/json.hpp>
 #include <set>
 #include <stdexcept>
+#include <utility>
+#include <vector>
 
 namespace lilacmux {
 namespace {
@@ -135,7 +137,68 @@
   out.idleTimeoutMs = number(*limits, "idleTimeoutMs", where, out.idleTimeoutMs, kMostMs);
 }
 
-Configuration read(const json& root) {
+// Reads the bytes into a tree, but for the routes: each is taken out of it as soon as it is whole. They are
+// what a configuration has many of, and as a tree they take fifteen times what they are read into.
+class RoutesApart : public json::json_sax_t {
+ public:
+  json root;
+  std::vector<Route> routes;
+
+  bool null() override { return put(nullptr); }
+  bool boolean(bool value) override { return put(value); }
+  bool number_integer(number_integer_t value) override { return put(value); }
+  bool number_unsigned(number_unsigned_t value) override { return put(value); }
+  bool number_float(number_float_t value, const string_t&) override { return put(value); }
+  bool string(string_t& value) override { return put(std::move(value)); }
+  bool binary(binary_t& value) override { return put(json::binary(std::move(value))); }
+  bool key(string_t& name) override {
+    key_ = std::move(name);
+    return true;
+  }
+  bool start_object(std::size_t) override { return open(json::object()); }
+  bool start_array(std::size_t) override { return open(json::array()); }
+  bool end_object() override { return close(); }
+  bool end_array() override { return close(); }
+  bool parse_error(std::size_t, const std::string&, const json::exception&) override { return false; }
+
+ private:
+  json& add(json&& value) {
+    if (open_.empty()) return root = std::move(value);
+    json& in = *open_.back();
+    if (in.is_array()) return in.get_ref<json::array_t&>().emplace_back(std::move(value));
+    return in[std::exchange(key_, {})] = std::move(value);
+  }
+  bool put(json&& value) {
+    add(std::move(value));
+    return true;
+  }
+  bool open(json&& value) {
+    if (open_.size() >= kMostDepth) return false;
+    const bool isRoutes = open_.size() == 1 && root.is_object() && key_ == "routeRules" && value.is_array();
+    open_.push_back(&add(std::move(value)));
+    if (isRoutes) {
+      routes_ = open_.back();
+      routes.clear();  // told twice: the last counts, as of every field
+    }
+    return true;
+  }
+  bool close() {
+    const json* ended = open_.back();
+    open_.pop_back();
+    if (ended == routes_) routes_ = nullptr;
+    if (open_.empty() || open_.back() != routes_ || !ended->is_object()) return true;
+    routes.push_back(routeOf(*ended));
+    open_.back()->get_ref<json::array_t&>().pop_back();
+    return true;
+  }
+
+  static constexpr std::size_t kMostDepth = 32;
+  std::vector<json*> open_;  // from the root on
+  std::string key_;
+  const json* routes_ = nullptr;
+};
+
+Configuration read(const json& root, std::vector<Route>&& routes) {
   if (!root.is_object()) throw Invalid("the body is no configuration");
   Configuration out;
   const json* revision = field(root, "revision");
@@ -157,14 +220,14 @@
     out.services.push_back(std::move(service));
   }
   std::set<std::pair<std::string, std::string>> places;
-  for (const json& entry : list(root, "routeRules", "configuration")) {
-    Route route = routeOf(entry);
+  list(root, "routeRules", "configuration");  // what is left of it is no route
+  for (const Route& route : routes) {
     for (const Target& target : route.targets)
       if (!services.contains(target.service)) invalid("route " + route.name, "names an unknown service");
     if (!places.insert({route.host, route.prefix}).second)
       invalid("route " + route.name, "another route has its host and prefix");
-    out.routes.push_back(std::move(route));
   }
+  out.routes = std::move(routes);
   readTenants(root, out);
   readLimits(root, out.limits);
   return out;
@@ -173,10 +236,11 @@
 }  // namespace
 
 std::variant<Configuration, std::string> parseConfiguration(std::string_view messagePack) {
-  const json root = json::from_msgpack(messagePack.begin(), messagePack.end(), true, false);
-  if (root.is_discarded()) return "the body cannot be read whole";
+  RoutesApart told;
   try {
-    return read(root);
+    if (!json::sax_parse(messagePack.begin(), messagePack.end(), &told, json::input_format_t::msgpack))
+      return "the body cannot be read whole";
+    return read(told.root, std::move(told.routes));
   } catch (const Invalid& why) {
     return std::string(why.what());
   } catch (const json::exception&) {
--- a/tests/system/parts_test.cpp
+++ b/tests/system/parts_test.cpp
@@ -132,6 +132,60 @@
   EXPECT_EQ(RouteTable::pickService(split, 0.76), "t");
 }
 
+// Fields come in any order, and what is told twice counts once.
+TEST(Configurations, AreReadInAnyOrder) {
+  const json told = configuration();
+  nlohmann::ordered_json turned;
+  for (const char* name : {"tenants", "routeRules", "revision", "backendServices"}) turned[name] = told[name];
+  const auto bytes = nlohmann::ordered_json::to_msgpack(turned);
+  const auto read = parseConfiguration({reinterpret_cast<const char*>(bytes.data()), bytes.size()});
+  ASSERT_TRUE(std::holds_alternative<Configuration>(read)) << std::get<std::string>(read);
+  EXPECT_EQ(std::get<Configuration>(read).routes.size(), 2u);
+  // A map of one more entry than `told`, with the routes once more at its end.
+  std::string twice = pack(told);
+  const auto routes = json::to_msgpack(json{{"routeRules", told["routeRules"]}});
+  twice[0] = static_cast<char>(twice[0] + 1);
+  twice.append(routes.begin() + 1, routes.end());
+  const auto once = parseConfiguration(twice);
+  ASSERT_TRUE(std::holds_alternative<Configuration>(once)) << std::get<std::string>(once);
+  EXPECT_EQ(std::get<Configuration>(once).routes.size(), 2u);
+  EXPECT_FALSE(valid({{"revision", 1}, {"backendServices", json::array()}, {"routeRules", {1}}}));
+  EXPECT_FALSE(valid({{"revision", 1}, {"backendServices", json::array()}, {"routeRules", json::object()}}));
+  json deep = 1;
+  for (int i = 0; i < 1000; ++i) deep = json::array({deep});
+  EXPECT_FALSE(valid({{"revision", 1}, {"x", deep}}));
+}
+
+// Many routes, nested and not, held against a search of them all.
+TEST(Routes, AreFoundAmongManyAsByASearchOfAll) {
+  json told = configuration();
+  const json plain = told["routeRules"][0];
+  told["routeRules"] = json::array();
+  std::vector<std::string> prefixes;
+  for (int i = 0; i < 1400; ++i)
+    prefixes.push_back("/p" + std::to_string(i % 70) + (i < 70 ? "/" : "/q" + std::to_string(i) + "/"));
+  for (const std::string& prefix : prefixes) {
+    json route = plain;
+    route["name"] = "r" + prefix;
+    route["pathPrefix"] = prefix;
+    told["routeRules"].push_back(route);
+  }
+  const auto read = parseConfiguration(pack(told));
+  ASSERT_TRUE(std::holds_alternative<Configuration>(read)) << std::get<std::string>(read);
+  const RouteTable table(std::get<Configuration>(read));
+  for (int i = 0; i < 1500; ++i) {
+    const std::string path = "/p" + std::to_string(i % 75) + "/q" + std::to_string(i) + (i % 2 ? "/x/y" : "");
+    std::string best;
+    for (const std::string& prefix : prefixes)
+      if (path.starts_with(prefix) && prefix.size() > best.size()) best = prefix;
+    const Route* found = table.find("a.example", path);
+    EXPECT_EQ(found ? found->prefix : "", best) << path;
+  }
+  EXPECT_EQ(table.find("a.example", std::string(16000, '/')), nullptr);
+  EXPECT_EQ(table.find("a.example", "/p1"), nullptr) << "the slash belongs to it";
+  EXPECT_EQ(table.find("a.example/p1", "/"), nullptr);
+}
+
 TEST(Platform, APageThatIsCutShortOrLacksAFieldIsNoPage) {
   const json page = {{"instances",
                       {{{"instanceId", "i"},
@@ -254,6 +308,46 @@
   EXPECT_FALSE(late);
 }
 
+// Where a machine has as many connections as it keeps, the one that goes is not the oldest but the longest
+// silent: that of a machine that lost its power, and not that of one that calls four times a second.
+TEST(Frames, TheLongestSilentConnectionMakesRoom) {
+  boost::asio::io_context io;
+  FrameServer::Reply held;
+  FrameServer server(
+      io, {boost::asio::ip::make_address("127.0.0.1"), 0}, 2,
+      [&](Frame&& frame, const FrameServer::Reply& reply) {
+        if (frame.head.at("t") == "held")
+          held = reply;
+        else
+          reply({{{"t", "x"}}, {}});
+      },
+      [](const std::string&) {});
+  const auto until = [&](const std::function<bool()>& holds) {
+    while (!holds()) {
+      io.restart();
+      io.run_one_for(std::chrono::seconds(20));
+    }
+  };
+  FrameClient calls(io, server.address()), silent(io, server.address()), late(io, server.address());
+  const auto ask = [&](FrameClient& client, const char* what, std::optional<bool>& answered) {
+    client.call({{{"t", what}}, {}}, std::chrono::seconds(20),
+                [&](std::optional<Frame> answer) { answered = answer.has_value(); });
+  };
+  std::optional<bool> first, second, third, out;
+  ask(calls, "x", first);
+  until([&] { return first.has_value(); });
+  ask(silent, "x", second);
+  until([&] { return second.has_value(); });
+  ask(calls, "held", out);
+  until([&] { return static_cast<bool>(held); });
+  ask(late, "x", third);
+  until([&] { return third.has_value(); });
+  EXPECT_TRUE(*third);
+  held({{{"t", "x"}}, {}});
+  until([&] { return out.has_value(); });
+  EXPECT_TRUE(*out) << "the connection that was heard last was taken";
+}
+
 TEST(ChangeLog, AFollowerGetsWhatItLacksAndWhoIsTooFarBehindASnapshot) {
   ChangeLog log(7);
   EXPECT_EQ(log.since(0, 0, 0).place, 0u) << "a place before there is a list";
