Let a relay's next life end what is reserved for the one before

Cause: a relay that was killed and came back within a second was another holder, and its first life's stock and lent rate stayed reserved for 4 s, though its gatekeepers had long told what they hold.

Change: once a life has been up for 0.6 s, the time after which a new primary believes a relay too, nothing more is reserved for lives of the same name. Who is cut off from all relays is not heard, as before, and bounded as before.

--- a/src/fleet/primary.cpp
+++ b/src/fleet/primary.cpp
@@ -60,7 +60,8 @@
   if (!named) return;
   if (call.settled) {
     shares_.settled(now, plainName(call.name));
-    if (retries_) retries_->settled(now, plainName(call.name));
+    shares_.succeed(now, call.name);
+    if (retries_) retries_->settled(now, call.name);
   }
   std::optional<ShareLedger::Turn> retries;
   if (retries_) retries = retries_->turn(now, call.name, call.requests, call.retries, call.whole);
--- a/src/quota/retry_ledger.hpp
+++ b/src/quota/retry_ledger.hpp
@@ -35,7 +35,11 @@
   void leave(Millis now, const std::string& holder, const std::vector<ShareDemand>& rest) {
     shares_.leave(now, holder, rest);
   }
-  void settled(Millis now, const std::string& name) { shares_.settled(now, name); }
+  // This life of a relay has heard what those before have lent on.
+  void settled(Millis now, const std::string& relay) {
+    shares_.settled(now, plainName(relay));
+    shares_.succeed(now, relay);
+  }
 
  private:
   const RetryRule rule_;
--- a/src/quota/share_ledger.cpp
+++ b/src/quota/share_ledger.cpp
@@ -136,13 +136,29 @@
   }
 }
 
+void ShareLedger::forget(Millis now, const std::string& holder) {
+  const auto heard = holders_.find(holder);
+  if (heard == holders_.end()) return;
+  drop(now, holder, {});
+  byAge_.erase({heard->second, holder});
+  holders_.erase(heard);
+}
+
+void ShareLedger::succeed(Millis now, const std::string& holder) {
+  const std::string name = plainName(holder);
+  std::string& life = lives_[name];
+  if (life == holder) return;
+  life = holder;
+  std::vector<std::string> before;
+  for (const auto& [other, heardAt] : holders_)
+    if (other != holder && plainName(other) == name) before.push_back(other);
+  for (const std::string& other : before) forget(now, other);
+}
+
 // A holder that was silent for long enough to count for something is settled before it is heard again.
 void ShareLedger::hear(Millis now, const std::string& holder) {
   while (!byAge_.empty() && now - byAge_.begin()->first >= timing_.lease) {
-    const std::string gone = byAge_.begin()->second;
-    drop(now, gone, {});
-    byAge_.erase(byAge_.begin());
-    holders_.erase(gone);
+    forget(now, std::string(byAge_.begin()->second));
   }
   const auto found = holders_.find(holder);
   if (found == holders_.end()) return;
@@ -210,8 +226,7 @@
 
 void ShareLedger::leave(Millis now, const std::string& holder, const std::vector<ShareDemand>& rest) {
   hear(now, holder);
-  const auto heard = holders_.find(holder);
-  if (heard == holders_.end()) return;
+  if (!holders_.contains(holder)) return;
   std::set<std::string> kept;
   for (const ShareDemand& demand : rest) {
     const auto found = ledgers_.find(demand.tenant);
@@ -230,10 +245,7 @@
     if (fills_ == Fills::byQuota) ledger.bucket = std::min(ledger.bucket, ledger.room());
     if (demand.stock > 0 || demand.rate > 0) kept.insert(demand.tenant);
   }
-  drop(now, holder, kept);
-  if (!kept.empty()) return;
-  byAge_.erase({heard->second, holder});
-  holders_.erase(heard);
+  kept.empty() ? forget(now, holder) : drop(now, holder, kept);
 }
 
 void ShareLedger::settled(Millis now, const std::string& name) {
--- a/src/quota/share_ledger.hpp
+++ b/src/quota/share_ledger.hpp
@@ -110,6 +110,9 @@
   // (`stock` and `rate` of a tenant, for those that it has lent on to and not heard) ends with its lease.
   void leave(Millis now, const std::string& holder, const std::vector<ShareDemand>& rest);
 
+  // This life of a holder has heard all that its lives before have lent on: nothing is reserved for those.
+  void succeed(Millis now, const std::string& holder);
+
   // All that was lent to this one by ledgers before this is told of here: it is awaited no longer.
   void settled(Millis now, const std::string& name);
 
@@ -153,6 +156,7 @@
   bool isQuiet(Millis now) const { return !awaited_.empty() && now < quietUntil_; }
   void hear(Millis now, const std::string& holder);
   void drop(Millis now, const std::string& holder, const std::set<std::string>& but);
+  void forget(Millis now, const std::string& holder);
   // Calls `look` with each holding of holders that were not heard for `reservedAfter`, and when they were.
   template <class Look>
   void eachSilent(Ledger& ledger, Millis now, Look look);
@@ -171,6 +175,7 @@
   std::unordered_map<std::string, Ledger> ledgers_;  // by tenant
   std::unordered_map<std::string, Millis> holders_;  // when each was heard last
   std::set<std::pair<Millis, std::string>> byAge_;   // the same, the longest silent first
+  std::map<std::string, std::string> lives_;         // by plain name: the life that has succeeded
   std::uint64_t lastGrant_;
   std::uint64_t looks_ = 0;
 };
--- a/tests/system/shares_test.cpp
+++ b/tests/system/shares_test.cpp
@@ -225,5 +225,27 @@
   }
 }
 
+// Nor for a life that another of the same name has followed, once that has heard what the first had lent on.
+TEST(Shares, NothingIsReservedForALifeThatAnotherHasSucceeded) {
+  for (const bool succeeds : {false, true}) {
+    ShareLedger ledger(ShareLedger::Fills::byQuota, {}, 0, {}, 1 << 20);
+    ledger.limit(0, "t", {10, 40});
+    ledger.turn(1000, "r#1", {{"t", 5, 0, 0, 0, 0, 20}}, true);
+    ledger.turn(1001, "b", {{"t", 5, 0, 0, 0, 0, 20}}, true);
+    ledger.turn(1300, "r#2", {}, true);
+    if (succeeds) ledger.succeed(1900, "r#2");
+    double taken = 0;
+    for (Millis now = 1900; now <= 4600; now += 100) {
+      ledger.turn(now, "r#2", {}, false);
+      taken += ledger.turn(now, "b", {{"t", 5, 0, 0, 0, 100, 0}}, false).grants[0].tokens;
+    }
+    if (succeeds)
+      EXPECT_GT(taken, 30);
+    else
+      EXPECT_LT(taken, 10);
+    EXPECT_EQ(ledger.holders(5100), 2u);
+  }
+}
+
 }  // namespace
 }  // namespace lilacmux::test
