--- a/tests/run.sh
+++ b/tests/run.sh
@@ -13,6 +13,7 @@
 [ -e /usr/include/CLI/CLI.hpp ] || need+=(libcli11-dev)
 [ -e /usr/include/leveldb/db.h ] || need+=(libleveldb-dev)
 [ -e /usr/include/spdlog/spdlog.h ] || need+=(libspdlog-dev)
+[ -e /usr/include/prometheus/text_serializer.h ] || need+=(prometheus-cpp-dev)
 [ -e /usr/include/xxhash.h ] || need+=(libxxhash-dev)
 if [ ${#need[@]} -gt 0 ]; then
   apt-get update -qq
--- a/tests/system/core_test.cpp
+++ b/tests/system/core_test.cpp
@@ -229,6 +229,36 @@
   EXPECT_EQ(arrivals, before + 1);
 }
 
+TEST_F(Core, FiguresCountWhatWasServedAndRefused) {
+  ASSERT_EQ(replace(configuration(2, "secret-key"), 0), 200u);
+  until([&] { return gateway->ready(); }, "the gateway follows");
+  EXPECT_TRUE(has(ask("/a/x", "secret-key"), "HTTP/1.1 200"));
+  const auto told = [&](const tcp::endpoint& at) {
+    return exchange(at, "GET /metrics HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+  };
+  const std::string front = told(*settings(0, true).readiness);
+  EXPECT_FALSE(has(front, "secret-key"));
+  EXPECT_TRUE(has(front, "# TYPE lilacmux_requests_total counter"));
+  EXPECT_TRUE(has(front, "lilacmux_revision 2"));
+  EXPECT_TRUE(has(front, "lilacmux_ready 1"));
+  EXPECT_TRUE(has(front, "lilacmux_servers{service=\"s\"} 1"));
+  double answered = 0, tries = 0;
+  const auto sum = [&](const std::string& name) {
+    double out = 0;
+    for (auto at = front.find(name); at != std::string::npos; at = front.find(name, at + 1))
+      out += std::stod(front.substr(front.find('}', at) + 1));
+    return out;
+  };
+  answered = sum("lilacmux_requests_total{kind=");
+  tries = sum("lilacmux_tries_total{kind=");
+  EXPECT_EQ(answered, 1);
+  EXPECT_EQ(tries, 1);
+  double leads = 0;
+  for (std::size_t i = 0; i < 3; ++i)
+    leads += has(told(*settings(i, true).controlPlane), "lilacmux_primary 1") ? 1 : 0;
+  EXPECT_EQ(leads, 1);
+}
+
 TEST_F(Core, StatusTellsWhatEachProcessGoesByAndNoKey) {
   ASSERT_EQ(replace(configuration(2, "secret-key"), 0), 200u);
   until([&] { return gateway->ready(); }, "the gateway follows");
