--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -6,6 +6,7 @@
 #include <chrono>
 
 #include "agreement/messages.hpp"
+#include "figures/exposition.hpp"
 #include "net/steady.hpp"
 #include "settings/configuration.hpp"
 
@@ -197,6 +198,7 @@
   if (!current_) return;
   const Respond respond = std::move(current_->respond);
   current_.reset();
+  ++taken_;
   respond(callReply(http::status::ok, "taken\n"));
   boost::asio::post(io_, [this] { pump(); });
 }
@@ -204,6 +206,7 @@
 // A primary's own part begins with the first state that is known to hold, and goes on with each change.
 void ControlNode::lead(const State& state) {
   if (!lead_) {
+    ++turns_;
     const Bounds& bounds = settings_.bounds;
     lead_ = std::make_unique<Primary>(now(), replica_->epoch(), state.holders,
                                       QuotaRule{bounds.quotaWindowS, bounds.quotaOverage, bounds.quotaSlack},
@@ -251,6 +254,7 @@
   std::string_view rest = burlwind::view(call.target());
   const std::string path(burlwind::cut(rest, '?'));
   if (path == "/api/status") return status(respond);
+  if (path == "/metrics") return respond(callReply(http::status::ok, metrics(), Exposition::kType));
   const bool replaces = path == "/api/Configuration.Replace",
              describes = path == "/api/Configuration.Describe";
   if (!replaces && !describes) return respond(refusal(http::status::not_found, "no such call"));
@@ -311,6 +315,32 @@
   respond(callReply(http::status::ok, out.dump() + "\n", "application/json"));
 }
 
+// For the operators' Prometheus, as the gatekeepers' (docs/operations/figures.md).
+std::string ControlNode::metrics() const {
+  Exposition out;
+  out.counter("lilacmux_calls_total", "Calls of gatekeepers, relays and members",
+              static_cast<double>(answered_));
+  out.counter("lilacmux_changes_total", "Configurations acknowledged here", static_cast<double>(taken_));
+  out.counter("lilacmux_primary_total", "Times that this one became the primary",
+              static_cast<double>(turns_));
+  out.gauge("lilacmux_relay_gatekeepers", "Gatekeepers that ask here",
+            static_cast<double>(relay_.gatekeepers(now())));
+  if (!replica_) return out.text();
+  const Durable& kept = replica_->durable();
+  out.gauge("lilacmux_primary", "Whether this one leads", replica_->isPrimary());
+  out.gauge("lilacmux_serves", "Whether it may act as the primary now", replica_->mayServe(now()));
+  out.gauge("lilacmux_disk_failed", "Whether its disk takes nothing", replica_->hasFailed());
+  out.gauge("lilacmux_members", "Members of the core", static_cast<double>(kept.record.members.size()));
+  out.gauge("lilacmux_backups", "Backups of the core", static_cast<double>(kept.record.backups.size()));
+  out.gauge("lilacmux_bears", "Losses that the members bear",
+            static_cast<double>((std::max<std::size_t>(1, kept.record.members.size()) - 1) / 2));
+  out.gauge("lilacmux_to_bear", "Losses that they are to bear", settings_.machineFailures);
+  out.gauge("lilacmux_revision", "The newest configuration kept", static_cast<double>(kept.state.revision));
+  if (lead_)
+    out.gauge("lilacmux_relays", "Relays that ask the primary", static_cast<double>(lead_->relays(now())));
+  return out.text();
+}
+
 void ControlNode::replace(Call&& call, const Respond& respond) {
   const auto base = burlwind::number<std::uint64_t>(burlwind::view(call["X-Base-Revision"]));
   if (!base) return respond(refusal(http::status::bad_request, "X-Base-Revision is not a number"));
@@ -370,6 +400,7 @@
 
 void ControlNode::framed(Frame&& frame, const FrameServer::Reply& reply) {
   if (!replica_) return reply(toFrame(FollowAnswer{}));
+  ++answered_;
   if (const auto call = followCallOf(frame))
     return reply(toFrame(call->address.empty() ? relayed(*call) : feed(*call)));
   const auto message = messageOf(std::move(frame));
--- a/src/control/node.hpp
+++ b/src/control/node.hpp
@@ -61,6 +61,7 @@
   void replace(Call&& call, const Respond& respond);
   void describe(const Respond& respond);
   void status(const Respond& respond) const;
+  std::string metrics() const;
   void elsewhere(const std::string& path, const Respond& respond) const;
   void pump();
   void decide(Change&& change);
@@ -94,6 +95,7 @@
   std::optional<burlwind::CallServer> calls_;
   std::optional<FrameServer> frames_;
   bool leaving_ = false;
+  std::uint64_t answered_ = 0, taken_ = 0, turns_ = 0;  // since the start: calls, changes, times as primary
 };
 
 }  // namespace lilacmux
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -6,6 +6,7 @@
 #include <set>
 
 #include "agreement/epoch.hpp"
+#include "figures/exposition.hpp"
 #include "net/steady.hpp"
 #include "node/held_steps.hpp"
 #include "quota/retry_ledger.hpp"
@@ -145,6 +146,8 @@
                      [this](burlwind::CallServer::Call&& call, const burlwind::CallServer::Respond& respond) {
                        if (call.target() == "/api/status")
                          return respond(burlwind::callReply(http::status::ok, status(), "application/json"));
+                       if (call.target() == "/metrics")
+                         return respond(burlwind::callReply(http::status::ok, metrics(), Exposition::kType));
                        const bool known = call.target() == "/api/readiness";
                        respond(burlwind::callReply(!known    ? http::status::not_found
                                                    : ready() ? http::status::ok
@@ -238,6 +241,53 @@
 // --- From the control plane
 // ------------------------------------------------------------------------------------
 
+// For the operators' Prometheus; what each tells and which to alert on: docs/operations/figures.md.
+std::string Gateway::metrics() const {
+  Exposition out;
+  figures_.each([&](const std::string& kind, auto good, auto refused, auto failed, auto tries) {
+    const std::string name = "lilacmux_requests_total", help = "Requests by how they ended";
+    out.counter(name, help, static_cast<double>(good), {{"kind", kind}, {"end", "answered"}});
+    out.counter(name, help, static_cast<double>(refused), {{"kind", kind}, {"end", "refused"}});
+    out.counter(name, help, static_cast<double>(failed), {{"kind", kind}, {"end", "failed"}});
+    out.counter("lilacmux_tries_total", "Requests written to a server", static_cast<double>(tries),
+                {{"kind", kind}});
+  });
+  const auto token = [&](const char* what, std::uint64_t count) {
+    out.counter("lilacmux_tokens_total", "Requests by what came of the token of their tenant",
+                static_cast<double>(count), {{"token", what}});
+  };
+  token("here", counts_.atOnce);
+  token("fetched", counts_.waited);
+  token("none", counts_.over);
+  token("late", counts_.late);
+  out.counter("lilacmux_out_of_touch_total", "Requests refused for want of the control plane's word",
+              static_cast<double>(counts_.outOfTouch));
+  out.counter("lilacmux_no_server_total", "Requests that no server could take",
+              static_cast<double>(counts_.noServer));
+  out.gauge("lilacmux_held", "Requests held now", static_cast<double>(held_.size() + parked_.size()));
+  out.gauge("lilacmux_server_connections", "Connections to servers",
+            static_cast<double>(pool_.connections()));
+  out.gauge("lilacmux_client_connections", "Connections of clients",
+            static_cast<double>(server_.connections()));
+  for (const auto& [way, gate] : {std::pair{"in", &inwards_}, std::pair{"out", &outwards_}})
+    out.gauge("lilacmux_link_queue_ms", "What stands in the machine's link, ms", gate->queue(),
+              {{"direction", way}});
+  out.gauge("lilacmux_lease_ms", "How long this one may still serve without a further word",
+            std::max(0.0, leaseUntil_ - now()));
+  out.gauge("lilacmux_revision", "The configuration in force",
+            table_ ? static_cast<double>(table_->revision()) : 0);
+  out.gauge("lilacmux_ready", "Whether new clients are wanted", ready());
+  for (const auto& [name, lane] : lanes_) {
+    if (!lane) continue;
+    const auto pool = lane->module().pool(now());
+    out.gauge("lilacmux_servers", "Servers of a service, as listed", static_cast<double>(pool.listed),
+              {{"service", name}});
+    out.gauge("lilacmux_servers_avoided", "Servers that are sent to only where there is no other",
+              static_cast<double>(pool.avoided), {{"service", name}});
+  }
+  return out.text();
+}
+
 // Who asks, and from what place on.
 FollowCall Gateway::place() const {
   FollowCall out;
@@ -396,6 +446,7 @@
   const Tenant* tenant = nullptr;
   if (mayServe()) route = table_->find(view(message[http::field::host]), pathOf(message));
   if (!route) {
+    ++counts_.outOfTouch;
     Answer out = text(http::status::service_unavailable, "not in touch with the control plane");
     out.retryAfter = kNoLeaseRetryAfter;
     return asker->answer(std::move(out));
@@ -412,12 +463,14 @@
   if (!tenant) return admit(std::move(request));
   const auto verdict = admission_.ask(at, tenant->name, chance());
   if (verdict.admitted) {
+    ++counts_.atOnce;
     admit(std::move(request));
   } else if (verdict.onItsWay) {
     request.until = std::min(at + tokenWait(*route) + inwards_.queue() + outwards_.queue(), request.expires);
     parked_.push_back(std::move(request));
     sweepParked();
   } else {
+    ++counts_.over;
     refuseQuota(request, verdict.wait);
   }
   hurry();
@@ -449,6 +502,7 @@
     }
     Parked out = std::move(request);
     looked.pop_front();
+    ++(verdict.admitted ? counts_.waited : now() < out.until ? counts_.over : counts_.late);
     verdict.admitted ? admit(std::move(out)) : refuseQuota(out, verdict.wait);
   }
   hurry();
@@ -469,6 +523,7 @@
       }
       const Parked late = std::move(*it);
       it = parked_.erase(it);
+      ++counts_.late;
       refuseQuota(late, kRetryAfter);
     }
     sweepParked();
@@ -711,6 +766,7 @@
     return answer(id, late ? text(http::status::gateway_timeout, "no answer in time")
                            : text(http::status::bad_gateway, "no whole answer"));
   }
+  ++counts_.noServer;
   Answer out = text(http::status::service_unavailable, "no server could take it");
   out.retryAfter = retryAfter;
   answer(id, std::move(out));
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -98,6 +98,7 @@
   void log(const std::string& line) override { log_(line); }
 
   std::string status() const;
+  std::string metrics() const;
   FollowCall place() const;
   FollowCall asks(ShareTell what);
   FollowCall leaves();
@@ -150,6 +151,10 @@
   Admission admission_;
   Admission retries_;  // the budgets of further tries, by service
   RateMeter requests_;
+  // Since the start: requests by what came of their token, and those that no server could take.
+  struct Counts {
+    std::uint64_t atOnce = 0, waited = 0, over = 0, late = 0, outOfTouch = 0, noServer = 0;
+  } counts_;
   RequestId lastId_ = 0;
   std::uint64_t epoch_ = 0, place_ = 0;
   std::size_t fleet_ = 0;  // gatekeepers, as last told
--- a/src/node/figures.hpp
+++ b/src/node/figures.hpp
@@ -27,6 +27,13 @@
   // An attempt whose last byte has been written to a worker.
   void tried(unsigned klass) { ++of_[klass].tries; }
 
+  // Calls `look` with each kind's name and its answers so far: good, refused, failed; and its tries.
+  template <class Look>
+  void each(Look look) const {
+    for (std::size_t i = 0; i < of_.size(); ++i)
+      look(classes_[i], of_[i].ok, of_[i].shed, of_[i].errors, of_[i].tries);
+  }
+
   std::string text(std::size_t active, irisring::PoolView pool) const {
     std::string out;
     const auto line = [&](std::string_view name, std::uint64_t value) {
