--- a/tests/bench/recovery.sh
+++ b/tests/bench/recovery.sh
@@ -7,7 +7,7 @@
 shift 2
 printf '%-12s %-26s %8s %8s %8s %8s %8s\n' day fault at_s start_s primary in_force served90
 for day in "$@"; do
-  "$bench" run "$site" "$day" --log all --why "Recovery after the closing fault of $day" 2>/dev/null | awk -v day="$day" '
+  "$bench" run "$site" "$day" --log all --why "Recovery after the closing fault of $day" 2>&1 | awk -v day="$day" '
     / closing \(/ && !fault { at = $1; match($0, /closing \([a-z_ ]*\)/); fault = substr($0, RSTART + 9, RLENGTH - 10) }
     /info started/ { starts[++s] = $1 }
     /primary in epoch/ { leads[++l] = $1 }
