Let elections that are interrupted one after another, and changes of members, leave a core that can choose

Cause, found by reading and by search: a record named one epoch whose state its successor must have. Where all of the core is killed twice in the midst of an election, and the primaries of those moments stay away, that state is with nobody who is left. So with a restart of a primary before its first sync, and with a record renewed before it was settled. A member that a joint record brings in did not vote before it had taken that record, so that the loss of the one that wrote it stopped the choice. A primary that had stood still sent one heartbeat before it looked at its lease; an emptied member that took it voted for old state, and an acknowledged change was lost.

Change: a record carries the epochs of which it is not known whether anything was committed in them, with their backups. A vote of any backup that was never given the state in one proves it unused. Votes are given whether a member or not (the newest record among them tells which count), candidates ask the members of the newest record that they heard of, and the lease is looked at before any heartbeat.

--- a/src/agreement/messages.cpp
+++ b/src/agreement/messages.cpp
@@ -13,8 +13,11 @@
 constexpr const char* kNames[] = {"hello", "beat", "beat-ack", "probe",  "would-vote",
                                   "ask",   "vote", "sync",     "synced", "resign"};
 
+// Versions that know nothing of `uncertain` take the second field for the state that is needed.
 json recordOf(const Record& r) {
-  return json::array({r.epoch, r.previous, r.primary, r.backups, r.members, r.leaving});
+  json out = json::array({r.epoch, r.surelyEnough(), r.primary, r.backups, r.members, r.leaving});
+  if (!r.uncertain.empty()) out.insert(out.end(), {r.previous, r.uncertain});
+  return out;
 }
 
 Record recordFrom(const json& in) {
@@ -25,6 +28,9 @@
   in.at(3).get_to(out.backups);
   in.at(4).get_to(out.members);
   in.at(5).get_to(out.leaving);
+  if (in.size() <= 6) return out;
+  in.at(6).get_to(out.previous);
+  in.at(7).get_to(out.uncertain);
   return out;
 }
 
@@ -48,6 +54,16 @@
 
 }  // namespace
 
+void to_json(json& out, const Generation& generation) {
+  out = json::array({generation.epoch, generation.primary, generation.backups});
+}
+
+void from_json(const json& in, Generation& generation) {
+  in.at(0).get_to(generation.epoch);
+  in.at(1).get_to(generation.primary);
+  in.at(2).get_to(generation.backups);
+}
+
 Frame toFrame(const Message& m) {
   Frame out;
   out.head = {{kKind, kNames[static_cast<std::size_t>(m.kind)]},
@@ -57,6 +73,7 @@
               {"record", recordOf(m.record)},
               {"data", m.dataEpoch},
               {"forgotten", m.forgotten},
+              {"settled", m.settledEpoch},
               {"seq", m.sequence},
               {"at", m.sentAt}};
   if (m.state) addState(*m.state, out);
@@ -77,6 +94,7 @@
     out.record = recordFrom(in.at("record"));
     in.at("data").get_to(out.dataEpoch);
     in.at("forgotten").get_to(out.forgotten);
+    out.settledEpoch = in.value("settled", std::uint64_t{0});  // not told by the first versions
     in.at("seq").get_to(out.sequence);
     in.at("at").get_to(out.sentAt);
     if (in.contains("state")) out.state = stateFrom(in.at("state"), std::move(frame.body));
--- a/src/agreement/messages.hpp
+++ b/src/agreement/messages.hpp
@@ -8,6 +8,9 @@
 
 namespace lilacmux {
 
+void to_json(nlohmann::json& out, const Generation& generation);
+void from_json(const nlohmann::json& in, Generation& generation);
+
 Frame toFrame(const Message& message);
 // Nothing: not a message between members.
 std::optional<Message> messageOf(Frame&& frame);
--- a/src/agreement/replica.cpp
+++ b/src/agreement/replica.cpp
@@ -65,6 +65,7 @@
   out.record = durable_.record;
   out.dataEpoch = durable_.dataEpoch;
   out.forgotten = durable_.forgotten;
+  out.settledEpoch = durable_.settledEpoch;
   out.sequence = durable_.state.sequence;
   return out;
 }
@@ -80,6 +81,14 @@
     if (member != self_) host_.send(member, message);
 }
 
+// To all who may decide: this node's own record may not be the newest.
+void Replica::askVoters(const Message& message) {
+  std::set<NodeId> voters = everyMember();
+  voters.insert(contacts_.begin(), contacts_.end());
+  voters.erase(self_);
+  for (const NodeId& voter : voters) host_.send(voter, message);
+}
+
 // A majority, this node included, owes its loyalty until then; during a change of members both majorities.
 Millis Replica::leaseUntil(Millis now) const {
   const auto ackedBy = [&](const std::vector<NodeId>& members) {
@@ -105,7 +114,7 @@
 
 // Loyalty keeps it from helping others against its primary, not from helping that one to come back.
 bool Replica::helps(Millis now, const NodeId& candidate) const {
-  if (empty_ || !isMember()) return false;
+  if (empty_) return false;
   if (primary_) return now >= leaseUntil(now);
   return !owes(now) || (candidate == durable_.promisedTo && (leader_.empty() || leader_ == candidate));
 }
@@ -161,12 +170,17 @@
   primary_ ? tickPrimary(now) : tickFollower(now);
 }
 
+// Remembers the members of the newest record that others have told of.
+void Replica::noteContacts(const Record& theirs) {
+  if (theirs.members.empty() || theirs.epoch < contactsEpoch_) return;
+  contacts_ = theirs.members;
+  contacts_.insert(contacts_.end(), theirs.leaving.begin(), theirs.leaving.end());
+  contactsEpoch_ = theirs.epoch;
+}
+
 void Replica::onHello(Millis now, const Message& message) {
   const Record& theirs = message.record;
-  if (!theirs.members.empty() && theirs.epoch >= contactsEpoch_) {
-    contacts_ = theirs.members;
-    contactsEpoch_ = theirs.epoch;
-  }
+  noteContacts(theirs);
   // Not kept: a disk that has members but no record is one of the first start.
   if (durable_.record.members.empty()) durable_.record.members = theirs.members;
   if (theirs.epoch < durable_.record.epoch || (theirs.members.empty() && !durable_.record.members.empty()))
@@ -196,6 +210,7 @@
     if (!keep()) return;
     empty_ = false;
   }
+  durable_.settledEpoch = std::max(durable_.settledEpoch, message.settledEpoch);
   answer.yes = true;
   answer.epoch = message.epoch;
   host_.send(message.from, answer);
@@ -223,8 +238,8 @@
   if ((lost || !peer.kept) && due) sendSyncTo(now, message.from);
 }
 
+// Whether its vote counts is told by the newest record among the votes, which it may not have taken yet.
 void Replica::onProbe(Millis now, const Message& message) {
-  if (!isMember()) return;
   Message answer = make(Message::Kind::wouldVote);
   answer.yes = helps(now, message.from);
   answer.epoch = durable_.promised;
@@ -233,13 +248,13 @@
 
 void Replica::onWouldVote(Millis now, const Message& message) {
   seen_ = std::max(seen_, message.epoch);
+  noteContacts(message.record);
   if (!ballotIsOpen(now, false) || !message.yes) return;
   ballot_->votes[message.from] = message;
   if (wins(ballot_->votes)) stand(now);
 }
 
 void Replica::onAsk(Millis now, const Message& message) {
-  if (!isMember()) return;
   Message answer = make(Message::Kind::vote);
   answer.epoch = durable_.promised;
   if (message.epoch <= durable_.promised || !helps(now, message.from))
@@ -272,7 +287,7 @@
   const Ballot won = std::move(*ballot_);
   ballot_.reset();
   Record record = newestOf(won.votes);
-  record.previous = record.epoch;
+  follow(won.votes, record);
   record.epoch = won.epoch;
   record.primary = self_;
   // Who has the newest state is given what it lacks the soonest.
@@ -306,20 +321,48 @@
 }
 
 // Whether this node has all that was ever committed. A primary of the newest record that any majority knows
-// of has, and so has each of its backups once it was given the state in that epoch. Where any of those
-// backups votes and says that it never was, nothing was committed in that epoch, and the one before it
-// counts; one that has lost its disk since cannot say so.
+// of has, and so has each of its backups once it was given the state in that epoch. Epochs in which nothing
+// was committed are passed over, as far as that is known.
 bool Replica::eligible(const std::map<NodeId, Message>& votes, const Record& newest) const {
-  if (newest.epoch == 0 || durable_.dataEpoch == newest.epoch) return true;
+  if (newest.epoch == 0) return true;
+  const std::vector<Generation> used = usedOf(votes, newest);
+  return durable_.dataEpoch >= (used.empty() ? newest.previous : used.front().epoch);
+}
+
+// A change is committed once all backups have it. So where any backup of an epoch says that it was never
+// given the state in it, nothing was committed there, and nothing will be: it has promised its vote's round.
+// One that has lost its disk since cannot say so.
+bool Replica::neverUsed(const std::map<NodeId, Message>& votes, const Generation& generation) const {
   const auto never = [&](std::uint64_t dataEpoch, std::uint64_t forgotten) {
-    return dataEpoch < newest.epoch && forgotten < newest.epoch;
+    return dataEpoch < generation.epoch && forgotten < generation.epoch;
   };
-  const bool unused = std::any_of(newest.backups.begin(), newest.backups.end(), [&](const NodeId& backup) {
+  return std::any_of(generation.backups.begin(), generation.backups.end(), [&](const NodeId& backup) {
+    if (backup == self_) return never(durable_.dataEpoch, durable_.forgotten);
     const auto vote = votes.find(backup);
-    return vote != votes.end() ? never(vote->second.dataEpoch, vote->second.forgotten)
-                               : backup == self_ && never(durable_.dataEpoch, durable_.forgotten);
+    return vote != votes.end() && never(vote->second.dataEpoch, vote->second.forgotten);
   });
-  return unused && durable_.dataEpoch >= newest.previous;
+}
+
+// The newest record's epoch and those before it in which something may have been committed, newest first.
+std::vector<Generation> Replica::usedOf(const std::map<NodeId, Message>& votes, const Record& newest) const {
+  std::vector<Generation> out{newest.generation()};
+  out.insert(out.end(), newest.uncertain.begin(), newest.uncertain.end());
+  std::erase_if(out, [&](const Generation& generation) { return neverUsed(votes, generation); });
+  return out;
+}
+
+// What a record that comes after `record` by a vote tells of the epochs before it. Later votes may tell more
+// of them, so whatever is not certain is handed on.
+void Replica::follow(const std::map<NodeId, Message>& votes, Record& record) const {
+  if (record.epoch == 0) return;
+  std::uint64_t settled = durable_.settledEpoch;
+  for (const auto& [from, vote] : votes) settled = std::max(settled, vote.settledEpoch);
+  record.uncertain = usedOf(votes, record);
+  record.previous = std::max(record.previous, settled);
+  std::erase_if(record.uncertain, [&](const Generation& each) { return each.epoch <= record.previous; });
+  if (record.uncertain.size() <= kMostUncertain) return;
+  record.previous = record.uncertain[kMostUncertain].epoch;
+  record.uncertain.resize(kMostUncertain);
 }
 
 void Replica::onSync(Millis now, const Message& message) {
@@ -356,6 +399,7 @@
   const bool news = !committed_ || committed_->sequence != durable_.state.sequence;
   if (!committed_) host_.log("primary in epoch " + epochText(durable_.record.epoch));
   settled_ = true;
+  durable_.settledEpoch = durable_.record.epoch;
   if (news) committed_ = std::make_shared<State>(durable_.state);
   proposed_ = false;
   if (news) host_.committed(*committed_);
@@ -377,7 +421,10 @@
     if (now >= standAfter_) stand(now);
     return;
   }
-  next.previous = durable_.record.epoch;
+  if (durable_.settledEpoch == durable_.record.epoch) {
+    next.previous = durable_.record.epoch;
+    next.uncertain.clear();
+  }
   next.epoch = durable_.record.epoch + 1;
   lead(now, next);
 }
@@ -399,30 +446,27 @@
 }
 
 void Replica::tickPrimary(Millis now) {
-  if (now - beatAt_ >= timing_.beat) {
-    beatAt_ = now;
-    Message beat = make(Message::Kind::beat);
-    beat.sentAt = now;
-    broadcast(beat);
-    for (auto it = observers_.begin(); it != observers_.end();) {
-      if (now - it->second > kObserverKept) {
-        it = observers_.erase(it);
-        continue;
-      }
-      host_.send(it->first, beat);
-      ++it;
-    }
-  }
+  // First of all: after a standstill nobody may hear of a primary that others may have replaced.
   if (now >= std::max(leaseUntil(now), electedAt_ + timing_.lease)) {
     stepDown("no majority has answered for a lease's time");
     standAfter_ = now + timing_.stagger;
     return;
   }
+  if (now - beatAt_ >= timing_.beat) sendBeats(now);
   if (!settled_) sendSync(now);
   if (changeMembers(now)) return;
   replaceSilentBackups(now);
 }
 
+void Replica::sendBeats(Millis now) {
+  beatAt_ = now;
+  Message beat = make(Message::Kind::beat);
+  beat.sentAt = now;
+  broadcast(beat);
+  std::erase_if(observers_, [&](const auto& observer) { return now - observer.second > kObserverKept; });
+  for (const auto& [observer, heardAt] : observers_) host_.send(observer, beat);
+}
+
 // Another member takes a silent backup's place, as far as there is one.
 bool Replica::replaceSilentBackups(Millis now) {
   const Record& record = durable_.record;
@@ -580,7 +624,7 @@
   standAfter_ = 0;
   ballot_ = Ballot{false, 0, now, {}};
   if (wins({})) return stand(now);  // a core of one
-  broadcast(make(Message::Kind::probe));
+  askVoters(make(Message::Kind::probe));
 }
 
 void Replica::stand(Millis now) {
@@ -592,7 +636,7 @@
   if (wins({})) return win(now);
   Message ask = make(Message::Kind::ask);
   ask.epoch = durable_.promised;
-  broadcast(ask);
+  askVoters(ask);
 }
 
 }  // namespace lilacmux
--- a/src/agreement/replica.hpp
+++ b/src/agreement/replica.hpp
@@ -44,14 +44,32 @@
   std::set<std::string> holders;                       // gatekeepers that may have been lent shares of quotas
 };
 
+// Who kept the state in one epoch.
+struct Generation {
+  std::uint64_t epoch = 0;
+  NodeId primary;
+  std::vector<NodeId> backups;  // sorted
+  bool operator==(const Generation&) const = default;
+};
+
+constexpr std::size_t kMostUncertain = 8;
+
 struct Record {
   std::uint64_t epoch = 0;
-  std::uint64_t previous = 0;  // the epoch whose state its primary started from
+  // Where nothing was committed in this epoch or in any of `uncertain`, whoever has the state of `previous`,
+  // or of a later epoch, has all that was ever committed.
+  std::uint64_t previous = 0;
   NodeId primary;
   std::vector<NodeId> backups;  // sorted
   std::vector<NodeId> members;  // sorted; empty: not known yet
   std::vector<NodeId> leaving;  // sorted: the members before, while a change of them is on its way
+  // The epochs after `previous` of which it is not known whether anything was committed in them, newest
+  // first: their primaries were lost before it was told. At most `kMostUncertain`.
+  std::vector<Generation> uncertain;
 
+  Generation generation() const { return {epoch, primary, backups}; }
+  // The epoch whose state is enough where nothing was committed in this one, whatever else is known.
+  std::uint64_t surelyEnough() const { return uncertain.empty() ? previous : uncertain.front().epoch; }
   bool has(const NodeId& node) const;  // as a member, a leaving one included
   bool isBackup(const NodeId& node) const;
   // Whether these nodes decide: a majority of the members and, during a change, of those before.
@@ -66,6 +84,8 @@
   std::uint64_t dataEpoch = 0;  // the epoch for which `state` is complete
   // A disk was lost here: what was kept under records up to this epoch is not known any more.
   std::uint64_t forgotten = 0;
+  // The newest epoch that is known to have been settled; written along with other things, so it may lag.
+  std::uint64_t settledEpoch = 0;
   State state;
 };
 
@@ -76,7 +96,7 @@
   std::uint64_t epoch = 0;
   bool yes = false;
   Record record;
-  std::uint64_t dataEpoch = 0, forgotten = 0;
+  std::uint64_t dataEpoch = 0, forgotten = 0, settledEpoch = 0;
   std::uint64_t sequence = 0;
   Millis sentAt = 0;           // beat: the sender's clock, given back by its ack
   std::optional<State> state;  // sync
@@ -154,11 +174,16 @@
   Millis leaseUntil(Millis now) const;
   bool wins(const std::map<NodeId, Message>& votes) const;
   bool eligible(const std::map<NodeId, Message>& votes, const Record& newest) const;
+  bool neverUsed(const std::map<NodeId, Message>& votes, const Generation& generation) const;
+  std::vector<Generation> usedOf(const std::map<NodeId, Message>& votes, const Record& newest) const;
+  void follow(const std::map<NodeId, Message>& votes, Record& record) const;
   const Record& newestOf(const std::map<NodeId, Message>& votes) const;
   bool owes(Millis now) const;  // loyalty to a primary, or to one it may have forgotten
   bool helps(Millis now, const NodeId& candidate) const;
   bool keep();
   void broadcast(const Message& message);
+  void askVoters(const Message& message);
+  void noteContacts(const Record& theirs);
   Message make(Message::Kind kind) const;
 
   void onHello(Millis now, const Message& message);
@@ -173,6 +198,7 @@
   void onSynced(Millis now, const Message& message);
 
   void tickPrimary(Millis now);
+  void sendBeats(Millis now);
   void tickFollower(Millis now);
   void probe(Millis now);
   void stand(Millis now);
--- a/src/agreement/store.cpp
+++ b/src/agreement/store.cpp
@@ -9,6 +9,8 @@
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
+#include "agreement/messages.hpp"
+
 namespace lilacmux {
 namespace {
 
@@ -36,11 +38,14 @@
           {"promised", d.promised},
           {"promisedTo", d.promisedTo},
           {"epoch", d.record.epoch},
-          {"previous", d.record.previous},
+          {"previous", d.record.surelyEnough()},  // all that versions before `uncertain` read
+          {"certain", d.record.previous},
+          {"uncertain", d.record.uncertain},
           {"primary", d.record.primary},
           {"backups", d.record.backups},
           {"dataEpoch", d.dataEpoch},
           {"forgotten", d.forgotten},
+          {"settled", d.settledEpoch},
           {"sequence", d.state.sequence},
           {"revision", d.state.revision},
           {"taken", d.state.fingerprint},
@@ -62,6 +67,11 @@
     out.record.backups = {one};
   in.at("dataEpoch").get_to(out.dataEpoch);
   out.forgotten = in.value("forgotten", std::uint64_t{0});
+  out.settledEpoch = in.value("settled", std::uint64_t{0});
+  if (in.contains("uncertain")) {
+    in.at("certain").get_to(out.record.previous);
+    in.at("uncertain").get_to(out.record.uncertain);
+  }
   in.at("sequence").get_to(out.state.sequence);
   in.at("revision").get_to(out.state.revision);
   in.at("holders").get_to(out.state.holders);
