Split the replica by job and name its parts in the field's words

Elections, replication and changes of members stand in files of their own, the count of a ballot in a class of its own (ballot.hpp), records, messages and the state in headers of theirs. hello, beat, probe, wouldVote, ask, sync become announce, heartbeat, prevoteRequest, prevote, voteRequest, replicate; owes, helps, stand, lead, renew, settle become boundByLease, mayVoteFor, startElection, openEpoch, openNextEpoch, trySettle. Names on the wire and on disk stay, for versions that run side by side.

--- /dev/null
+++ b/src/agreement/member_message.hpp
@@ -0,0 +1,38 @@
+// What members of the core say to each other.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+
+#include "agreement/record.hpp"
+
+namespace lilacmux {
+
+using Millis = double;  // of the host's steady clock
+
+// One message. Every message tells its sender's record and what it has of the state.
+struct Message {
+  enum class Kind {
+    announce,        // here I am: to members and seeds, by a node that hears no primary
+    heartbeat,       // the primary's, with its record; asks for a lease
+    heartbeatAck,    // `granted`: record accepted, lease granted
+    prevoteRequest,  // would you vote for me? Changes nothing at the receiver
+    prevote,         // `granted`: yes
+    voteRequest,     // vote for me in the round of `epoch`
+    vote,            // `granted`: promised
+    replicate,       // the state, to a backup
+    replicateAck,    // it is on this backup's disk
+    resign,          // the primary leaves in order
+  };
+  Kind kind = Kind::announce;
+  NodeId from;
+  std::uint64_t epoch = 0;
+  bool granted = false;
+  Record record;
+  std::uint64_t dataEpoch = 0, forgotten = 0, settledEpoch = 0;  // as in Durable
+  std::uint64_t sequence = 0;                                    // of the sender's state
+  Millis sentAt = 0;           // heartbeat: the sender's clock, given back by its ack
+  std::optional<State> state;  // replicate
+};
+
+}  // namespace lilacmux
--- a/src/agreement/messages.cpp
+++ b/src/agreement/messages.cpp
@@ -10,12 +10,13 @@
 
 using nlohmann::json;
 
+// By Message::Kind. Versions that run beside each other during a roll-out share these.
 constexpr const char* kNames[] = {"hello", "beat", "beat-ack", "probe",  "would-vote",
                                   "ask",   "vote", "sync",     "synced", "resign"};
 
 // Versions that know nothing of `uncertain` take the second field for the state that is needed.
 json recordOf(const Record& r) {
-  json out = json::array({r.epoch, r.surelyEnough(), r.primary, r.backups, r.members, r.leaving});
+  json out = json::array({r.epoch, r.strictPrevious(), r.primary, r.backups, r.members, r.leaving});
   if (!r.uncertain.empty()) out.insert(out.end(), {r.previous, r.uncertain});
   return out;
 }
@@ -69,7 +70,7 @@
   out.head = {{kKind, kNames[static_cast<std::size_t>(m.kind)]},
               {"from", m.from},
               {"epoch", m.epoch},
-              {"yes", m.yes},
+              {"yes", m.granted},
               {"record", recordOf(m.record)},
               {"data", m.dataEpoch},
               {"forgotten", m.forgotten},
@@ -90,7 +91,7 @@
     const json& in = frame.head;
     in.at("from").get_to(out.from);
     in.at("epoch").get_to(out.epoch);
-    in.at("yes").get_to(out.yes);
+    in.at("yes").get_to(out.granted);
     out.record = recordFrom(in.at("record"));
     in.at("data").get_to(out.dataEpoch);
     in.at("forgotten").get_to(out.forgotten);
--- a/src/agreement/messages.hpp
+++ b/src/agreement/messages.hpp
@@ -3,7 +3,7 @@
 
 #include <optional>
 
-#include "agreement/replica.hpp"
+#include "agreement/member_message.hpp"
 #include "net/frames.hpp"
 
 namespace lilacmux {
--- /dev/null
+++ b/src/agreement/record.cpp
@@ -0,0 +1,28 @@
+#include "agreement/record.hpp"
+
+#include <algorithm>
+
+namespace lilacmux {
+namespace {
+
+bool isMajority(const std::vector<NodeId>& of, const std::set<NodeId>& nodes) {
+  const auto present =
+      std::count_if(of.begin(), of.end(), [&](const NodeId& n) { return nodes.contains(n); });
+  return static_cast<std::size_t>(present) > of.size() / 2;
+}
+
+}  // namespace
+
+bool contains(const std::vector<NodeId>& sorted, const NodeId& node) {
+  return std::binary_search(sorted.begin(), sorted.end(), node);
+}
+
+bool Record::has(const NodeId& node) const { return contains(members, node) || contains(leaving, node); }
+
+bool Record::isBackup(const NodeId& node) const { return contains(backups, node); }
+
+bool Record::isQuorum(const std::set<NodeId>& nodes) const {
+  return isMajority(members, nodes) && (leaving.empty() || isMajority(leaving, nodes));
+}
+
+}  // namespace lilacmux
--- /dev/null
+++ b/src/agreement/record.hpp
@@ -0,0 +1,68 @@
+// What a member of the core must not forget: the record of an epoch (who leads, who keeps the state, who
+// decides), its promises, and the replicated state.
+#pragma once
+
+#include <cstdint>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "agreement/epoch.hpp"
+#include "agreement/state.hpp"
+
+namespace lilacmux {
+
+using NodeId = std::string;  // the internal address, ip:port
+
+// The nodes that keep the state in one epoch.
+struct Generation {
+  std::uint64_t epoch = 0;
+  NodeId primary;
+  std::vector<NodeId> backups;  // sorted
+  bool operator==(const Generation&) const = default;
+};
+
+// The most uncertain epochs that a record carries. Those before them count as used.
+constexpr std::size_t kMostUncertain = 8;
+
+// One epoch of the core.
+struct Record {
+  std::uint64_t epoch = 0;
+  // Where nothing was committed in this epoch or in any of `uncertain`, a node that has the state of
+  // `previous`, or of a later epoch, has all that was ever committed.
+  std::uint64_t previous = 0;
+  NodeId primary;
+  std::vector<NodeId> backups;  // sorted
+  std::vector<NodeId> members;  // sorted; empty: not known yet
+  std::vector<NodeId> leaving;  // sorted: the members before, during a change of members (joint quorum)
+  // The epochs after `previous` of which it is not known whether anything was committed in them, newest
+  // first: their primaries were lost before they could say so.
+  std::vector<Generation> uncertain;
+
+  Generation generation() const { return {epoch, primary, backups}; }
+  // The epoch whose state is enough where nothing was committed in this one, whatever else is known.
+  std::uint64_t strictPrevious() const { return uncertain.empty() ? previous : uncertain.front().epoch; }
+  // Whether the node is a member, a leaving one included.
+  bool has(const NodeId& node) const;
+  bool isBackup(const NodeId& node) const;
+  // Whether these nodes are a quorum: a majority of the members and, during a change, of the leaving ones.
+  bool isQuorum(const std::set<NodeId>& nodes) const;
+};
+
+// What a member keeps on disk. It must be there before any message that follows from it leaves.
+struct Durable {
+  std::uint64_t promised = 0;  // no message of an older epoch is accepted
+  NodeId promisedTo;
+  Record record;
+  std::uint64_t dataEpoch = 0;  // the epoch for which `state` is complete
+  // A disk was lost here: what was kept under records up to this epoch is not known any more.
+  std::uint64_t forgotten = 0;
+  // The newest epoch that is known to have been settled; written along with other things, so it may lag.
+  std::uint64_t settledEpoch = 0;
+  State state;
+};
+
+// Whether a sorted list has the node.
+bool contains(const std::vector<NodeId>& sorted, const NodeId& node);
+
+}  // namespace lilacmux
--- a/src/agreement/replica.hpp
+++ b/src/agreement/replica.hpp
@@ -1,23 +1,25 @@
-// The control plane's replication, as a state machine: who is the primary, who its backup, and when a change
-// holds. Events in, actions out; no socket, clock or disk of its own. All times are ms of the host's steady
-// clock.
+// The control plane's replication, as a state machine: who is the primary, who its backups are, and when a
+// change is committed. Events in, actions out; no socket, clock or disk of its own. All times are ms of the
+// host's steady clock.
 //
-// The first members are the core machines that were told at the first start. Each keeps, on disk, the newest
-// epoch that it has promised and the newest record that it has taken; a record names one epoch's primary,
-// backups and members. The primary writes a change to its disk and to each backup's before it counts; the
-// other members are witnesses, which keep order and epochs only. For `losses` disks that may be lost at once
-// there are that many backups, and twice as many members and one; the primary takes nodes in until there are.
-// A majority of members decides on a record. A member that has heard from its primary helps nobody else for
-// `lease` ms; the primary acts only for as long as a majority owes it that, so that there are never two that
-// act.
+// The first members are the core machines named at the first start. Each keeps on disk the newest epoch that
+// it has promised and the newest record that it has accepted; a record names one epoch's primary, backups and
+// members. The primary writes a change to its disk and to each backup's before it is committed; the other
+// members are witnesses, which keep promises and records only. To tolerate `losses` disks lost at once there
+// are that many backups, and twice as many members and one; the primary takes observers in until there are. A
+// quorum of members settles a record. A member that has heard from its primary votes for nobody else for the
+// time of a lease; the primary acts only while a quorum has granted it one, so that no two act at once.
 //
-// An epoch is a round and a place in it: a vote opens a round, and what its winner changes later (its backup,
-// the members) takes the next place in it without a vote. So no two primaries ever name the same epoch, and
-// whoever has promised a newer round takes nothing more of an older one.
+// An epoch is a round and a place in it: a vote opens a round, and what its winner changes later (its
+// backups, the members) takes the next place in it without a vote. So no two primaries ever open the same
+// epoch, and whoever has promised a newer round accepts nothing more of an older one.
 //
-// Other control nodes are observers: they take records and follow. The primary lets one of them take the
-// place of a member that stays silent, in two records: the first counts by majorities of the old members and
-// of the new ones, the second, once that one holds, by the new ones alone.
+// Other control nodes are observers: they accept records and follow. The primary lets one of them take the
+// place of a member that stays silent, in two records: the first needs a quorum of the old members and one of
+// the new ones, the second, once the first is settled, one of the new members alone.
+//
+// replica.cpp holds events and leases, replica_election.cpp votes and epochs, replica_replication.cpp
+// changes, replica_membership.cpp members and backups; ballot.hpp decides who may lead.
 #pragma once
 
 #include <cstdint>
@@ -28,122 +30,55 @@
 #include <string>
 #include <vector>
 
-#include "agreement/epoch.hpp"
+#include "agreement/ballot.hpp"
+#include "agreement/member_message.hpp"
 
 namespace lilacmux {
 
-using Millis = double;
-using NodeId = std::string;  // the internal address, ip:port
-
-// What is replicated: the newest configuration, and which ones were taken before it.
-struct State {
-  std::uint64_t sequence = 0;  // of changes, over all epochs
-  std::uint64_t revision = 0;
-  std::shared_ptr<const std::string> body;             // as it was sent
-  std::map<std::uint64_t, std::uint64_t> fingerprint;  // of each body taken, by revision
-  std::set<std::string> holders;                       // gatekeepers that may have been lent shares of quotas
-};
-
-// Who kept the state in one epoch.
-struct Generation {
-  std::uint64_t epoch = 0;
-  NodeId primary;
-  std::vector<NodeId> backups;  // sorted
-  bool operator==(const Generation&) const = default;
-};
-
-constexpr std::size_t kMostUncertain = 8;
-
-struct Record {
-  std::uint64_t epoch = 0;
-  // Where nothing was committed in this epoch or in any of `uncertain`, whoever has the state of `previous`,
-  // or of a later epoch, has all that was ever committed.
-  std::uint64_t previous = 0;
-  NodeId primary;
-  std::vector<NodeId> backups;  // sorted
-  std::vector<NodeId> members;  // sorted; empty: not known yet
-  std::vector<NodeId> leaving;  // sorted: the members before, while a change of them is on its way
-  // The epochs after `previous` of which it is not known whether anything was committed in them, newest
-  // first: their primaries were lost before it was told. At most `kMostUncertain`.
-  std::vector<Generation> uncertain;
-
-  Generation generation() const { return {epoch, primary, backups}; }
-  // The epoch whose state is enough where nothing was committed in this one, whatever else is known.
-  std::uint64_t surelyEnough() const { return uncertain.empty() ? previous : uncertain.front().epoch; }
-  bool has(const NodeId& node) const;  // as a member, a leaving one included
-  bool isBackup(const NodeId& node) const;
-  // Whether these nodes decide: a majority of the members and, during a change, of those before.
-  bool decides(const std::set<NodeId>& nodes) const;
-};
-
-// What must be on disk before any message that follows it leaves.
-struct Durable {
-  std::uint64_t promised = 0;
-  NodeId promisedTo;
-  Record record;
-  std::uint64_t dataEpoch = 0;  // the epoch for which `state` is complete
-  // A disk was lost here: what was kept under records up to this epoch is not known any more.
-  std::uint64_t forgotten = 0;
-  // The newest epoch that is known to have been settled; written along with other things, so it may lag.
-  std::uint64_t settledEpoch = 0;
-  State state;
-};
-
-struct Message {
-  enum class Kind { hello, beat, beatAck, probe, wouldVote, ask, vote, sync, synced, resign };
-  Kind kind = Kind::hello;
-  NodeId from;
-  std::uint64_t epoch = 0;
-  bool yes = false;
-  Record record;
-  std::uint64_t dataEpoch = 0, forgotten = 0, settledEpoch = 0;
-  std::uint64_t sequence = 0;
-  Millis sentAt = 0;           // beat: the sender's clock, given back by its ack
-  std::optional<State> state;  // sync
-};
-
 class ReplicaHost {
  public:
   virtual ~ReplicaHost() = default;
   virtual void send(const NodeId& to, const Message& message) = 0;
   // Returns once it is safe from a loss of power; false: it is not, and the node must not go on.
   virtual bool store(const Durable& durable) = 0;
-  virtual void committed(const State& state) = 0;  // at the primary: this change holds
-  virtual void lostPrimacy() = 0;                  // what was proposed and not committed is open
+  virtual void committed(const State& state) = 0;  // at the primary: this change is committed
+  virtual void lostPrimacy() = 0;                  // whether a pending proposal will be committed is open
   virtual void log(const std::string& line) = 0;
 };
 
 class Replica {
  public:
   struct Timing {
-    Millis beat = 200;
+    Millis heartbeatEvery = 200;
     Millis lease = 1100;
-    Millis slack = 100;         // kept from the lease for the rates of clocks
-    Millis stagger = 200;       // between those who may stand for election
-    Millis backupSilent = 800;  // then another member becomes the backup
-    Millis listenFirst = 2000;  // an empty disk: only listens for so long, and takes a record before it votes
-    Millis replaceAfter = 2500;  // of silence another node takes a member's place
-    Millis resync = 400;
-    unsigned losses = 1;      // disks lost at once that it is to bear
-    Millis standAgain = 500;  // of a primary, for members that have promised another round in vain
+    Millis leaseMargin = 100;      // kept from the lease for the rates of clocks
+    Millis electionStagger = 200;  // between members that may start an election
+    Millis backupTimeout = 800;    // of silence, until another member becomes the backup
+    // A member with an empty disk accepts no record and gives no vote before.
+    Millis listenBeforeJoining = 2000;
+    Millis memberTimeout = 2500;  // of silence, until an observer takes a member's place
+    Millis resendAfter = 400;     // the state to a backup that has not acknowledged it
+    unsigned losses = 1;          // disks lost at once that the core tolerates
+    // Between the elections by which a primary wins back members that promised another round.
+    Millis reelectAfter = 500;
   };
 
   // `seeds`: the control nodes that were told, this one included or not. `bootstrap`: the whole system starts
   // for the first time.
-  Replica(NodeId self, const std::vector<NodeId>& seeds, bool bootstrap, std::optional<Durable> kept,
+  Replica(NodeId self, const std::vector<NodeId>& seeds, bool bootstrap, std::optional<Durable> stored,
           const Timing& timing, Millis now, ReplicaHost& host);
 
   void tick(Millis now);  // every 50 ms or so
   void receive(Millis now, const Message& message);
   // Only where canWrite(). The host is told once it has been committed, or that primacy was lost.
   void propose(Millis now, const State& next);
-  // Going down in order: the backup may take over at once.
+  // Shuts down in order: a backup may take over at once.
   void resign();
 
   bool isMember() const;
   // Whether the committed state is the newest there is, now.
   bool mayServe(Millis now) const { return primary_ && committed_ && now < leaseUntil(now); }
-  bool canWrite(Millis now) const { return mayServe(now) && !proposed_ && settled_; }
+  bool canWrite(Millis now) const { return mayServe(now) && !proposalPending_ && settled_; }
   const State& committed() const { return *committed_; }
   std::uint64_t epoch() const { return durable_.record.epoch; }
   // The node to go to, as far as this one knows; empty: none.
@@ -156,63 +91,52 @@
 
  private:
   struct Peer {
-    Millis ackedSentAt = -1e18;  // when the newest beat was sent that it took in this primacy
+    Millis ackedSentAt = -1e18;  // when the newest heartbeat that it accepted was sent
     Millis heardAt = -1e18;
-    std::uint64_t tookEpoch = 0;
-    // Under this record: when it was sent the state last, and the newest change that it has kept.
-    Millis syncAt = -1e18;
-    std::optional<std::uint64_t> kept;
-  };
-  struct Ballot {
-    bool asked = false;  // else it only probes who would vote
-    std::uint64_t epoch = 0;
-    Millis since = 0;
-    std::map<NodeId, Message> votes;
+    std::uint64_t acceptedEpoch = 0;
+    // In this epoch: when the state was last sent to it, and the newest change that it has on disk.
+    Millis replicatedAt = -1e18;
+    std::optional<std::uint64_t> replicatedSequence;
   };
 
-  std::set<NodeId> everyMember() const;
+  std::set<NodeId> memberSet() const;
   Millis leaseUntil(Millis now) const;
-  bool wins(const std::map<NodeId, Message>& votes) const;
-  bool eligible(const std::map<NodeId, Message>& votes, const Record& newest) const;
-  bool neverUsed(const std::map<NodeId, Message>& votes, const Generation& generation) const;
-  std::vector<Generation> usedOf(const std::map<NodeId, Message>& votes, const Record& newest) const;
-  void follow(const std::map<NodeId, Message>& votes, Record& record) const;
-  const Record& newestOf(const std::map<NodeId, Message>& votes) const;
-  bool owes(Millis now) const;  // loyalty to a primary, or to one it may have forgotten
-  bool helps(Millis now, const NodeId& candidate) const;
-  bool keep();
+  bool boundByLease(Millis now) const;  // granted by this node, or perhaps before its restart
+  bool mayVoteFor(Millis now, const NodeId& candidate) const;
+  bool awaits(Millis now, Ballot::Phase phase) const;
+  bool persist();
   void broadcast(const Message& message);
-  void askVoters(const Message& message);
-  void noteContacts(const Record& theirs);
-  Message make(Message::Kind kind) const;
-
-  void onHello(Millis now, const Message& message);
-  void onBeat(Millis now, const Message& message);
-  void onBeatAck(Millis now, const Message& message);
-  void onProbe(Millis now, const Message& message);
-  void onWouldVote(Millis now, const Message& message);
-  void onAsk(Millis now, const Message& message);
-  bool ballotIsOpen(Millis now, bool asked) const;
+  void sendToVoters(const Message& message);
+  void noteKnownMembers(const Record& theirs);
+  void dropSilentObservers(Millis now);
+  Message makeMessage(Message::Kind kind) const;
+
+  void onAnnounce(Millis now, const Message& message);
+  void onHeartbeat(Millis now, const Message& message);
+  void onHeartbeatAck(Millis now, const Message& message);
+  void onPrevoteRequest(Millis now, const Message& message);
+  void onPrevote(Millis now, const Message& message);
+  void onVoteRequest(Millis now, const Message& message);
   void onVote(Millis now, const Message& message);
-  void onSync(Millis now, const Message& message);
-  void onSynced(Millis now, const Message& message);
+  void onReplicate(Millis now, const Message& message);
+  void onReplicateAck(Millis now, const Message& message);
 
   void tickPrimary(Millis now);
-  void sendBeats(Millis now);
+  void sendHeartbeats(Millis now);
   void tickFollower(Millis now);
-  void probe(Millis now);
-  void stand(Millis now);
+  void startPrevote(Millis now);
+  void startElection(Millis now);
   std::uint64_t nextRound() const;
-  void lead(Millis now, const Record& record);
-  bool allKept();
-  void sendSync(Millis now);
-  void sendSyncTo(Millis now, const NodeId& backup);
-  void settle(Millis now);
-  void win(Millis now);
+  void openEpoch(Millis now, const Record& record);
+  bool backupsUpToDate();
+  void replicate(Millis now);
+  void replicateTo(Millis now, const NodeId& backup);
+  void trySettle(Millis now);
+  void becomePrimary(Millis now);
   void stepDown(const std::string& why);
-  std::vector<NodeId> chooseBackups(Millis now, std::vector<NodeId> kept) const;
-  void renew(Millis now, Record next);
-  bool changeMembers(Millis now);
+  std::vector<NodeId> chooseBackups(Millis now, std::vector<NodeId> backups) const;
+  void openNextEpoch(Millis now, Record next);
+  bool replaceMember(Millis now);
   bool replaceSilentBackups(Millis now);
   Millis heardAt(const NodeId& node) const;
 
@@ -222,28 +146,28 @@
   ReplicaHost& host_;
   Durable durable_;
   const Millis startedAt_;
-  bool fresh_;  // nothing was promised before this start: there is nothing to forget
-  bool empty_;  // a disk without anything in a system that runs; until a record has been taken
+  bool firstStart_;   // nothing can have been promised before this start
+  bool diskIsEmpty_;  // in a system that runs already; until a record has been accepted
   bool failed_ = false;
   bool resigned_ = false;
 
-  std::uint64_t seen_ = 0;  // the newest epoch heard of
+  std::uint64_t newestEpochSeen_ = 0;  // promised by anyone, as far as told
   NodeId leader_;
-  Millis heardBeat_ = -1e18;
-  Millis helloAt_ = -1e18;
+  Millis heartbeatAt_ = -1e18;
+  Millis announcedAt_ = -1e18;
   std::optional<Ballot> ballot_;
-  Millis standAfter_ = 0;
+  Millis noElectionBefore_ = 0;
 
   bool primary_ = false;
-  bool settled_ = false;   // the record is a majority's and the backup has the state
-  bool proposed_ = false;  // a change is on its way
+  bool settled_ = false;          // a quorum has accepted the record and all backups have the state
+  bool proposalPending_ = false;  // not committed yet
   std::shared_ptr<State> committed_;
   std::map<NodeId, Peer> peers_;
-  std::map<NodeId, Millis> observers_;  // when they last said hello
-  std::vector<NodeId> contacts_;        // members of the newest record that others have told of
-  std::uint64_t contactsEpoch_ = 0;
-  Millis beatAt_ = -1e18;
-  Millis ledSince_ = 0, electedAt_ = 0;  // under this record; at all
+  std::map<NodeId, Millis> observers_;  // when they last announced themselves
+  std::vector<NodeId> knownMembers_;    // members of the newest record that others have told of
+  std::uint64_t knownMembersEpoch_ = 0;
+  Millis heartbeatSentAt_ = -1e18;
+  Millis epochOpenedAt_ = 0, electedAt_ = 0;
 };
 
 }  // namespace lilacmux
--- /dev/null
+++ b/src/agreement/replica_membership.cpp
@@ -0,0 +1,113 @@
+// Which nodes are members and backups, and who takes the place of a silent one.
+#include <algorithm>
+
+#include "agreement/replica.hpp"
+
+namespace lilacmux {
+namespace {
+
+constexpr Millis kObserverTimeout = 5000;  // until an observer that announces itself no more is dropped
+constexpr Millis kAliveWithin = 700;       // of its last message, a node counts as alive
+
+}  // namespace
+
+// Remembers the members of the newest record that any message told of.
+void Replica::noteKnownMembers(const Record& theirs) {
+  if (theirs.members.empty() || theirs.epoch < knownMembersEpoch_) return;
+  knownMembers_ = theirs.members;
+  knownMembers_.insert(knownMembers_.end(), theirs.leaving.begin(), theirs.leaving.end());
+  knownMembersEpoch_ = theirs.epoch;
+}
+
+void Replica::onAnnounce(Millis now, const Message& message) {
+  const Record& theirs = message.record;
+  noteKnownMembers(theirs);
+  // Not persisted: only the first start leaves members without a record on disk.
+  if (durable_.record.members.empty()) durable_.record.members = theirs.members;
+  if (theirs.epoch < durable_.record.epoch || (theirs.members.empty() && !durable_.record.members.empty()))
+    host_.send(message.from, makeMessage(Message::Kind::announce));
+  if (!durable_.record.has(message.from)) observers_[message.from] = now;
+}
+
+void Replica::dropSilentObservers(Millis now) {
+  std::erase_if(observers_, [&](const auto& observer) { return now - observer.second > kObserverTimeout; });
+}
+
+Millis Replica::heardAt(const NodeId& node) const {
+  const auto peer = peers_.find(node);
+  return std::max(epochOpenedAt_, peer == peers_.end() ? -1e18 : peer->second.heardAt);
+}
+
+// Another member takes a silent backup's place, as far as there is one.
+bool Replica::replaceSilentBackups(Millis now) {
+  const Record& record = durable_.record;
+  std::vector<NodeId> heard;
+  for (const NodeId& backup : record.backups)
+    if (now - heardAt(backup) < timing_.backupTimeout) heard.push_back(backup);
+  const std::size_t wanted = std::min<std::size_t>(timing_.losses, record.members.size() - 1);
+  const bool grows = settled_ && record.leaving.empty() && record.backups.size() < wanted;
+  if (heard.size() == record.backups.size() && !grows) return false;
+  const auto next = chooseBackups(now, heard);
+  // Silent members count toward the tolerated losses: so many fewer backups are needed for further ones.
+  const auto silent = static_cast<unsigned>(
+      std::count_if(record.members.begin(), record.members.end(), [&](const NodeId& member) {
+        return member != self_ && now - heardAt(member) >= timing_.backupTimeout;
+      }));
+  const unsigned needed = std::max(1u, timing_.losses - std::min(timing_.losses, silent));
+  if (next == record.backups || next.size() < std::min<std::size_t>(needed, record.backups.size()))
+    return false;
+  for (const NodeId& backup : next)
+    if (!record.isBackup(backup)) host_.log(backup + " becomes a backup");
+  Record other = record;
+  other.backups = next;
+  openNextEpoch(now, std::move(other));
+  return true;
+}
+
+// The given ones and, up to the number of losses, those of the other members that were heard from last.
+std::vector<NodeId> Replica::chooseBackups(Millis now, std::vector<NodeId> backups) const {
+  std::vector<std::pair<Millis, NodeId>> others;
+  for (const NodeId& member : durable_.record.members) {
+    const auto peer = peers_.find(member);
+    if (member == self_ || durable_.record.isBackup(member) || peer == peers_.end()) continue;
+    if (now - peer->second.heardAt < kAliveWithin) others.emplace_back(peer->second.heardAt, member);
+  }
+  std::sort(others.rbegin(), others.rend());
+  for (const auto& [heard, member] : others)
+    if (backups.size() < timing_.losses) backups.push_back(member);
+  std::sort(backups.begin(), backups.end());
+  return backups;
+}
+
+// One at a time, and only while this record is settled. The newcomer has accepted this epoch's record: it is
+// alive, and has listened for long enough to break no promise. It fills an empty place, or that of a silent
+// member.
+bool Replica::replaceMember(Millis now) {
+  const Record& record = durable_.record;
+  if (!settled_ || !record.leaving.empty()) return false;
+  const auto newcomer = std::find_if(observers_.begin(), observers_.end(), [&](const auto& observer) {
+    const auto peer = peers_.find(observer.first);
+    return !record.has(observer.first) && peer != peers_.end() && now - peer->second.heardAt < kAliveWithin &&
+           peer->second.acceptedEpoch == record.epoch;
+  });
+  if (newcomer == observers_.end()) return false;
+  const auto silent = std::find_if(record.members.begin(), record.members.end(), [&](const NodeId& member) {
+    return member != self_ && !record.isBackup(member) && now - heardAt(member) >= timing_.memberTimeout;
+  });
+  Record next = record;
+  next.leaving = record.members;
+  if (silent != record.members.end()) {
+    host_.log(newcomer->first + " takes the place of " + *silent + ", which is silent");
+    next.members[static_cast<std::size_t>(silent - record.members.begin())] = newcomer->first;
+  } else if (record.members.size() < 2 * timing_.losses + 1) {
+    host_.log(newcomer->first + " becomes a member");
+    next.members.push_back(newcomer->first);
+  } else {
+    return false;
+  }
+  std::sort(next.members.begin(), next.members.end());
+  openNextEpoch(now, std::move(next));
+  return true;
+}
+
+}  // namespace lilacmux
--- /dev/null
+++ b/src/agreement/replica_replication.cpp
@@ -0,0 +1,90 @@
+// From a proposed change to its commit: the state goes to the backups.
+#include <algorithm>
+
+#include "agreement/replica.hpp"
+
+namespace lilacmux {
+
+void Replica::propose(Millis now, const State& next) {
+  if (!canWrite(now)) return;
+  durable_.state = next;
+  proposalPending_ = true;
+  settled_ = false;
+  if (!persist()) return;
+  replicate(now);
+}
+
+// Whether every backup has the state as it is here; always so in a core of one.
+bool Replica::backupsUpToDate() {
+  const auto& backups = durable_.record.backups;
+  return std::all_of(backups.begin(), backups.end(), [&](const NodeId& backup) {
+    return peers_[backup].replicatedSequence == durable_.state.sequence;
+  });
+}
+
+// Sends the state to each backup that has the record but not the state, paced. Where all have it, what was in
+// the way of a commit may be over: a lease that had run out, a member that had not accepted the record.
+void Replica::replicate(Millis now) {
+  if (backupsUpToDate()) return trySettle(now);
+  for (const NodeId& backup : durable_.record.backups) {
+    const Peer& peer = peers_[backup];
+    if (peer.acceptedEpoch != epoch() || peer.replicatedSequence == durable_.state.sequence) continue;
+    const bool wasUpToDate = peer.replicatedSequence.has_value();
+    if (wasUpToDate || now - peer.replicatedAt >= timing_.resendAfter) replicateTo(now, backup);
+  }
+}
+
+void Replica::replicateTo(Millis now, const NodeId& backup) {
+  Peer& peer = peers_[backup];
+  peer.replicatedAt = now;
+  peer.replicatedSequence.reset();
+  Message message = makeMessage(Message::Kind::replicate);
+  message.state = durable_.state;
+  host_.send(backup, message);
+}
+
+void Replica::onReplicate(Millis now, const Message& message) {
+  const Record& record = durable_.record;
+  if (!isMember() || message.epoch != record.epoch || !record.isBackup(self_) ||
+      record.primary != message.from || durable_.promised != record.epoch || !message.state)
+    return;
+  heartbeatAt_ = std::max(heartbeatAt_, now - timing_.heartbeatEvery);
+  const bool known = durable_.dataEpoch == record.epoch && message.state->sequence <= durable_.state.sequence;
+  if (!known) {
+    durable_.state = *message.state;
+    durable_.dataEpoch = record.epoch;
+    if (!persist()) return;
+  }
+  host_.send(message.from, makeMessage(Message::Kind::replicateAck));
+}
+
+void Replica::onReplicateAck(Millis now, const Message& message) {
+  if (!primary_ || message.epoch != durable_.record.epoch || !durable_.record.isBackup(message.from)) return;
+  Peer& peer = peers_[message.from];
+  peer.heardAt = now;
+  peer.replicatedSequence = message.sequence;
+  if (message.sequence == durable_.state.sequence) trySettle(now);
+}
+
+// All backups have the state: once a quorum has accepted the record, what was proposed is committed.
+void Replica::trySettle(Millis now) {
+  if (now >= leaseUntil(now)) return;  // after a freeze another may lead
+  std::set<NodeId> accepted{self_};
+  for (const auto& [node, peer] : peers_)
+    if (peer.acceptedEpoch == durable_.record.epoch) accepted.insert(node);
+  if (!durable_.record.isQuorum(accepted)) return;
+  if (!backupsUpToDate()) return;
+  const bool news = !committed_ || committed_->sequence != durable_.state.sequence;
+  if (!committed_) host_.log("primary in epoch " + epochText(durable_.record.epoch));
+  settled_ = true;
+  durable_.settledEpoch = durable_.record.epoch;
+  if (news) committed_ = std::make_shared<State>(durable_.state);
+  proposalPending_ = false;
+  if (news) host_.committed(*committed_);
+  if (!primary_ || durable_.record.leaving.empty()) return;
+  Record next = durable_.record;
+  next.leaving.clear();
+  openNextEpoch(now, std::move(next));
+}
+
+}  // namespace lilacmux
--- a/src/agreement/store.cpp
+++ b/src/agreement/store.cpp
@@ -38,7 +38,7 @@
           {"promised", d.promised},
           {"promisedTo", d.promisedTo},
           {"epoch", d.record.epoch},
-          {"previous", d.record.surelyEnough()},  // all that versions before `uncertain` read
+          {"previous", d.record.strictPrevious()},  // all that versions before `uncertain` read
           {"certain", d.record.previous},
           {"uncertain", d.record.uncertain},
           {"primary", d.record.primary},
--- a/src/agreement/store.hpp
+++ b/src/agreement/store.hpp
@@ -7,7 +7,7 @@
 #include <optional>
 #include <string>
 
-#include "agreement/replica.hpp"
+#include "agreement/record.hpp"
 
 namespace leveldb {
 class DB;
--- a/tests/system/elections_test.cpp
+++ b/tests/system/elections_test.cpp
@@ -145,7 +145,7 @@
 // Versions that know nothing of uncertain epochs must not read a weaker demand out of a record than there is.
 TEST(InterruptedElections, AnOlderVersionReadsTheStricterDemand) {
   Message message;
-  message.kind = Message::Kind::beat;
+  message.kind = Message::Kind::heartbeat;
   message.record.epoch = 9;
   message.record.previous = 3;
   message.record.uncertain = {{7, "a:1", {"b:1"}}, {5, "b:1", {"c:1"}}};
