--- a/src/agreement/messages.cpp
+++ b/src/agreement/messages.cpp
@@ -1,7 +1,10 @@
 #include "agreement/messages.hpp"
 
+#include <openssl/evp.h>
+
 #include <algorithm>
 #include <iterator>
+#include <stdexcept>
 
 #include "net/frame_kind.hpp"
 
@@ -28,20 +31,50 @@
   return out;
 }
 
+std::string base64Of(const std::string& bytes) {
+  std::string out((bytes.size() + 2) / 3 * 4 + 1, '\0');  // the library adds a zero
+  const int length =
+      EVP_EncodeBlock(reinterpret_cast<unsigned char*>(out.data()),
+                      reinterpret_cast<const unsigned char*>(bytes.data()), static_cast<int>(bytes.size()));
+  out.resize(static_cast<std::size_t>(length));
+  return out;
+}
+
+std::string fromBase64(const std::string& text) {
+  std::string out(text.size() / 4 * 3, '\0');
+  const int length =
+      EVP_DecodeBlock(reinterpret_cast<unsigned char*>(out.data()),
+                      reinterpret_cast<const unsigned char*>(text.data()), static_cast<int>(text.size()));
+  const auto padding = std::min<std::size_t>(2, text.size() - (text.find_last_not_of('=') + 1));
+  if (length < 0 || static_cast<std::size_t>(length) != out.size() || out.size() < padding)
+    throw std::invalid_argument("not in base64");
+  out.resize(out.size() - padding);
+  return out;
+}
+
+// `taken` is what builds before this one know instead of `accepted`; empty, so that they can read the rest.
 void addState(const State& state, Frame& out) {
   out.head["state"] = {{"sequence", state.sequence},
                        {"revision", state.revision},
-                       {"taken", state.fingerprint},
+                       {"accepted", base64Of(state.accepted.packedEntries())},
+                       {"forgottenRevision", state.accepted.forgottenRevision()},
+                       {"taken", json::array()},
                        {"holders", state.holders}};
   if (state.body) out.body = *state.body;
 }
 
+AcceptedChanges acceptedFrom(const json& in, std::uint64_t revision, const std::string& body) {
+  if (!in.contains("accepted")) return AcceptedChanges::onlyCurrent(revision, body);
+  return AcceptedChanges::unpack(in.at("forgottenRevision").get<std::uint64_t>(),
+                                 fromBase64(in.at("accepted").get<std::string>()));
+}
+
 State stateFrom(const json& in, std::string&& body) {
   State out;
   in.at("sequence").get_to(out.sequence);
   in.at("revision").get_to(out.revision);
   in.at("holders").get_to(out.holders);
-  in.at("taken").get_to(out.fingerprint);
+  out.accepted = acceptedFrom(in, out.revision, body);
   if (out.revision > 0) out.body = std::make_shared<const std::string>(std::move(body));
   return out;
 }
--- a/src/agreement/replica.hpp
+++ b/src/agreement/replica.hpp
@@ -29,21 +29,13 @@
 #include <vector>
 
 #include "agreement/epoch.hpp"
+#include "agreement/state.hpp"
 
 namespace lilacmux {
 
 using Millis = double;
 using NodeId = std::string;  // the internal address, ip:port
 
-// What is replicated: the newest configuration, and which ones were taken before it.
-struct State {
-  std::uint64_t sequence = 0;  // of changes, over all epochs
-  std::uint64_t revision = 0;
-  std::shared_ptr<const std::string> body;             // as it was sent
-  std::map<std::uint64_t, std::uint64_t> fingerprint;  // of each body taken, by revision
-  std::set<std::string> holders;                       // gatekeepers that may have been lent shares of quotas
-};
-
 struct Record {
   std::uint64_t epoch = 0;
   std::uint64_t previous = 0;  // the epoch whose state its primary started from
--- a/src/agreement/store.cpp
+++ b/src/agreement/store.cpp
@@ -6,6 +6,9 @@
 #include <leveldb/write_batch.h>
 #include <unistd.h>
 
+#include <algorithm>
+#include <charconv>
+#include <cstdio>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
@@ -16,6 +19,9 @@
 
 constexpr const char* kMeta = "meta";  // all but the configuration's bytes, as JSON
 constexpr const char* kBody = "body";
+// A key for each accepted change, this and its revision in 16 hexadecimal digits, so that they are kept in
+// order and a write touches only those that are new; the value is the digest.
+constexpr std::string_view kAcceptedPrefix = "accepted/";
 constexpr std::size_t kWriteBuffer = 256 * 1024;
 
 leveldb::Options options() {
@@ -29,8 +35,41 @@
   return out;
 }
 
+constexpr int kForm = 2;  // 1: changes accepted before are told by hashes of 64 bits
+
+std::string keyOf(std::uint64_t revision) {
+  char digits[17];
+  std::snprintf(digits, sizeof digits, "%016llx", static_cast<unsigned long long>(revision));
+  return std::string(kAcceptedPrefix) + digits;
+}
+
+AcceptedChange acceptedFrom(const leveldb::Slice& key, const leveldb::Slice& value) {
+  AcceptedChange out;
+  const std::string digits = key.ToString().substr(kAcceptedPrefix.size());
+  const auto read = std::from_chars(digits.data(), digits.data() + digits.size(), out.revision, 16);
+  if (read.ec != std::errc() || value.size() != out.digest.size())
+    throw std::invalid_argument("an accepted change cannot be read");
+  std::copy_n(value.data(), value.size(), out.digest.begin());
+  return out;
+}
+
+// Both lists rise by revision. A revision whose digest differs is written over.
+void writeDifference(const std::vector<AcceptedChange>& written, const std::vector<AcceptedChange>& next,
+                     leveldb::WriteBatch& batch) {
+  auto old = written.begin();
+  for (const AcceptedChange& entry : next) {
+    for (; old != written.end() && old->revision < entry.revision; ++old) batch.Delete(keyOf(old->revision));
+    const bool same = old != written.end() && *old == entry;
+    if (old != written.end() && old->revision == entry.revision) ++old;
+    if (same) continue;
+    batch.Put(keyOf(entry.revision),
+              leveldb::Slice(reinterpret_cast<const char*>(entry.digest.data()), entry.digest.size()));
+  }
+  for (; old != written.end(); ++old) batch.Delete(keyOf(old->revision));
+}
+
 json metaOf(const Durable& d) {
-  return {{"form", 1},
+  return {{"form", kForm},
           {"members", d.record.members},
           {"leaving", d.record.leaving},
           {"promised", d.promised},
@@ -43,7 +82,8 @@
           {"forgotten", d.forgotten},
           {"sequence", d.state.sequence},
           {"revision", d.state.revision},
-          {"taken", d.state.fingerprint},
+          {"forgottenRevision", d.state.accepted.forgottenRevision()},
+          {"taken", json::array()},  // what form 1 must have to be read, so that an older build can
           {"holders", d.state.holders}};
 }
 
@@ -65,7 +105,6 @@
   in.at("sequence").get_to(out.state.sequence);
   in.at("revision").get_to(out.state.revision);
   in.at("holders").get_to(out.state.holders);
-  in.at("taken").get_to(out.state.fingerprint);
   return out;
 }
 
@@ -83,11 +122,13 @@
   bool good = false;
   try {
     good = open();
-    if (good)
-      if (const auto kept = read()) writtenBody_ = kept->state.body;
+    if (good) noteWritten();
   } catch (const json::exception& why) {
     log_(std::string("what the store holds cannot be read: ") + why.what());
     good = false;
+  } catch (const std::invalid_argument& why) {
+    log_(std::string("what the store holds cannot be read: ") + why.what());
+    good = false;
   }
   if (!good) setAside();
   // LevelDB renames a new CURRENT into place at each start and never syncs the folder for it: without this a
@@ -99,6 +140,13 @@
 
 Store::~Store() = default;
 
+void Store::noteWritten() {
+  const auto kept = read();
+  if (!kept) return;
+  writtenBody_ = kept->state.body;
+  writtenAccepted_ = readAcceptedEntries();
+}
+
 bool Store::open() {
   std::error_code ignored;
   std::filesystem::create_directories(disk_.folder, ignored);
@@ -119,6 +167,8 @@
 
 void Store::setAside() {
   db_.reset();
+  writtenBody_.reset();
+  writtenAccepted_.clear();
   const std::string aside = disk_.folder.string() + ".damaged";
   log_("the store is set aside as " + aside + ": this node starts as one that lost its disk");
   std::error_code ignored;
@@ -129,16 +179,34 @@
 }
 
 std::optional<Durable> Store::read() const {
-  std::string meta, body;
-  const leveldb::Status status = db_->Get({}, kMeta, &meta);
+  std::string text, body;
+  const leveldb::Status status = db_->Get({}, kMeta, &text);
   if (status.IsNotFound()) return std::nullopt;
   if (!status.ok()) throw std::runtime_error("cannot read what is kept: " + status.ToString());
-  Durable out = fromMeta(json::parse(meta));
+  const json meta = json::parse(text);
+  Durable out = fromMeta(meta);
   if (out.state.revision > 0) {
     const leveldb::Status found = db_->Get({}, kBody, &body);
     if (!found.ok()) throw std::runtime_error("cannot read what is kept: " + found.ToString());
     out.state.body = std::make_shared<const std::string>(std::move(body));
   }
+  // Form 1 tells older changes by hashes that are too short to rest an acknowledgement on. An older build
+  // that has written in between leaves the keys of form 2 behind: they may be out of date.
+  if (meta.value("form", 1) >= 2)
+    out.state.accepted =
+        AcceptedChanges(meta.at("forgottenRevision").get<std::uint64_t>(), readAcceptedEntries());
+  else if (out.state.body)
+    out.state.accepted = AcceptedChanges::onlyCurrent(out.state.revision, *out.state.body);
+  return out;
+}
+
+std::vector<AcceptedChange> Store::readAcceptedEntries() const {
+  std::vector<AcceptedChange> out;
+  const std::unique_ptr<leveldb::Iterator> at(db_->NewIterator({}));
+  const leveldb::Slice prefix(kAcceptedPrefix.data(), kAcceptedPrefix.size());
+  for (at->Seek(prefix); at->Valid() && at->key().starts_with(prefix); at->Next())
+    out.push_back(acceptedFrom(at->key(), at->value()));
+  if (!at->status().ok()) throw std::runtime_error("cannot read what is kept: " + at->status().ToString());
   return out;
 }
 
@@ -149,6 +217,8 @@
   leveldb::WriteBatch batch;
   batch.Put(kMeta, metaOf(durable).dump());
   if (newBody) batch.Put(kBody, *body);
+  const auto& accepted = durable.state.accepted.entries();
+  writeDifference(writtenAccepted_, accepted, batch);
   leveldb::WriteOptions sync;
   sync.sync = true;
   const leveldb::Status status = db_->Write(sync, &batch);
@@ -158,6 +228,7 @@
     return false;
   }
   writtenBody_ = body;
+  if (accepted != writtenAccepted_) writtenAccepted_ = accepted;
   return true;
 }
 
--- a/src/agreement/store.hpp
+++ b/src/agreement/store.hpp
@@ -47,11 +47,15 @@
  private:
   bool open();  // false: what is there is damaged
   void setAside();
+  void noteWritten();
+  std::vector<AcceptedChange> readAcceptedEntries() const;
 
   const Disk disk_;
   const Log log_;
   std::unique_ptr<leveldb::DB> db_;
+  // What the disk holds, so that only what differs is written.
   std::shared_ptr<const std::string> writtenBody_;
+  std::vector<AcceptedChange> writtenAccepted_;
   bool setAside_ = false, failed_ = false;
 };
 
--- /dev/null
+++ b/src/control/configuration_register.hpp
@@ -0,0 +1,59 @@
+// The decision on one change of the configuration: a compare-and-swap register whose value is the newest
+// configuration and whose condition is the revision that a change builds on. No socket, clock or disk.
+//
+// Each refusal is final. A change that is told `Conflict` or `Invalid` was never accepted and never will be,
+// whichever copy of it arrives later: revisions only rise, so its condition cannot come true any more. Where
+// that is not certain the verdict is `OutcomeUnknown`.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <variant>
+
+#include "agreement/state.hpp"
+
+namespace lilacmux {
+
+struct ChangeRequest {
+  std::string body;
+  std::uint64_t baseRevision = 0;  // the revision that it builds on; 0: none yet
+};
+
+// To be proposed. It counts only once that has been committed.
+struct Accept {
+  State next;
+};
+// This very body has been accepted before.
+struct AlreadyAccepted {};
+// It builds on a revision that is current no more.
+struct Conflict {
+  std::uint64_t currentRevision = 0;
+};
+// It could not be accepted at any time.
+struct Invalid {
+  std::string reason;
+};
+// It may have been accepted once, or may be later.
+struct OutcomeUnknown {
+  std::string reason;
+};
+using Verdict = std::variant<Accept, AlreadyAccepted, Conflict, Invalid, OutcomeUnknown>;
+
+class ConfigurationRegister {
+ public:
+  // At ten changes a second, the most that was seen, these are those of the last 102 seconds; at 14,000 a day
+  // those of the last 105 minutes. They take 40 KB.
+  static constexpr std::size_t kDefaultCapacity = 1024;
+
+  // `capacity`: how many accepted changes are kept to recognise those that are sent again; one at least.
+  explicit ConfigurationRegister(std::size_t capacity = kDefaultCapacity) : capacity_(capacity) {}
+
+  // `committed` must be the newest committed state.
+  Verdict decide(const State& committed, ChangeRequest&& request) const;
+
+ private:
+  std::size_t capacity_;
+};
+
+}  // namespace lilacmux
--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -20,17 +20,14 @@
 
 constexpr auto kHeardWithin = 600ms;  // a member's word at another, else the connection is given up
 constexpr auto kTick = 100ms;
+constexpr const char* kRetryAfter = "0.2";  // seconds; a primary is chosen within a few of them
 constexpr Millis kRecoverEvery = 1000;
 constexpr auto kLeaveAfter = 350ms;  // what was said last goes out, and each gatekeeper has asked once more
-constexpr std::size_t kMostWaiting = 64;
-constexpr Millis kRelayKept = 2000;     // without a word, until gatekeepers are no longer sent there
-constexpr std::size_t kMostTaken = 64;  // fingerprints kept
+constexpr Millis kRelayKept = 2000;  // without a word, until gatekeepers are no longer sent there
 constexpr std::size_t kMostConfiguration = 8 << 20;
 constexpr std::size_t kLinks = 512;  // of gatekeepers and members
 constexpr const char* kPack = "application/msgpack";
 
-std::uint64_t fingerprint(std::string_view body) { return XXH3_64bits(body.data(), body.size()); }
-
 std::string textOf(const boost::asio::ip::tcp::endpoint& at) {
   return at.address().to_string() + ":" + std::to_string(at.port());
 }
@@ -67,6 +64,21 @@
   return out;
 }
 
+CallReply replyOf(const ChangeAnswer& answer) {
+  switch (answer.outcome) {
+    case ChangeOutcome::acknowledged:
+      return callReply(http::status::ok, answer.text + "\n");
+    case ChangeOutcome::conflict:
+      return refusal(http::status::precondition_failed, answer.text);
+    case ChangeOutcome::invalid:
+      return refusal(http::status::bad_request, answer.text);
+    case ChangeOutcome::unavailable:
+    case ChangeOutcome::notPrimary:
+      break;
+  }
+  return refusal(http::status::service_unavailable, answer.text, kRetryAfter);
+}
+
 }  // namespace
 
 ControlNode::ControlNode(boost::asio::io_context& io, const NodeSettings& settings, Log log)
@@ -195,11 +207,7 @@
 
 void ControlNode::committed(const State& state) {
   lead(state);
-  if (!current_) return;
-  const Respond respond = std::move(current_->respond);
-  current_.reset();
-  ++taken_;
-  respond(callReply(http::status::ok, "taken\n"));
+  changes_.committed();
   boost::asio::post(io_, [this] { pump(); });
 }
 
@@ -240,11 +248,7 @@
   joining_.clear();
   // Its own handler may be what is running.
   boost::asio::post(io_, [watch = std::shared_ptr<PlatformWatch>(std::move(watch_))] {});
-  if (current_) waiting_.push_front(std::move(*current_));
-  current_.reset();
-  for (const Change& change : waiting_)
-    change.respond(refusal(http::status::service_unavailable, "the primary has changed", "0.2"));
-  waiting_.clear();
+  changes_.primacyLost();
 }
 
 // --- The operators
@@ -269,7 +273,7 @@
                         : seen_.relays.empty() ? NodeId()
                                                : seen_.relays.front().address;
   if (leader.empty() || leader == self_)
-    return respond(refusal(http::status::service_unavailable, "no primary yet", "0.2"));
+    return respond(refusal(http::status::service_unavailable, "no primary yet", kRetryAfter));
   const Endpoint at = parseAddress(leader, "leader");
   CallReply out = callReply(http::status::temporary_redirect, "the primary is elsewhere\n");
   out.set(http::field::location, "http://" + textOf({at.address(), settings_.controlPlane->port()}) + path);
@@ -320,7 +324,8 @@
   Exposition out;
   out.counter("lilacmux_calls_total", "Calls of gatekeepers, relays and members",
               static_cast<double>(answered_));
-  out.counter("lilacmux_changes_total", "Configurations acknowledged here", static_cast<double>(taken_));
+  out.counter("lilacmux_changes_total", "Configurations acknowledged here",
+              static_cast<double>(changes_.acknowledgedCount()));
   out.counter("lilacmux_primary_total", "Times that this one became the primary",
               static_cast<double>(turns_));
   out.gauge("lilacmux_relay_gatekeepers", "Gatekeepers that ask here",
@@ -344,55 +349,24 @@
 void ControlNode::replace(Call&& call, const Respond& respond) {
   const auto base = burlwind::number<std::uint64_t>(burlwind::view(call["X-Base-Revision"]));
   if (!base) return respond(refusal(http::status::bad_request, "X-Base-Revision is not a number"));
-  if (waiting_.size() >= kMostWaiting)
-    return respond(refusal(http::status::service_unavailable, "too many changes at once", "0.5"));
-  waiting_.push_back({std::move(call.body()), *base, respond});
-  pump();
+  changes_.replace(now(), *replica_, {std::move(call.body()), *base},
+                   [respond](const ChangeAnswer& answer) { respond(replyOf(answer)); });
 }
 
-// One change at a time: the next is held against what the one before has left.
 void ControlNode::pump() {
-  while (!waiting_.empty() && !current_ && replica_->canWrite(now())) {
-    Change next = std::move(waiting_.front());
-    waiting_.pop_front();
-    decide(std::move(next));
-  }
-  if (!joining_.empty() && !current_ && replica_->canWrite(now())) join();
+  changes_.pump(now(), *replica_);
+  const Millis at = now();
+  if (!joining_.empty() && replica_->canWrite(at)) join(at);
 }
 
 // Before a relay is lent anything its name is kept, so that the next primary knows whom to hear first.
-void ControlNode::join() {
+void ControlNode::join(Millis at) {
   State next = replica_->committed();
   ++next.sequence;
-  std::erase_if(next.holders, [&](const std::string& name) { return lead_->isGone(now(), name); });
+  std::erase_if(next.holders, [&](const std::string& name) { return lead_->isGone(at, name); });
   next.holders.merge(joining_);
   joining_.clear();
-  replica_->propose(now(), next);
-}
-
-void ControlNode::decide(Change&& change) {
-  const State& state = replica_->committed();
-  const std::uint64_t print = fingerprint(change.body);
-  for (const auto& [revision, taken] : state.fingerprint)
-    if (taken == print) return change.respond(callReply(http::status::ok, "taken already\n"));
-  const auto read = parseConfiguration(change.body);
-  if (const auto* why = std::get_if<std::string>(&read))
-    return change.respond(refusal(http::status::bad_request, *why));
-  if (change.base != state.revision)
-    return change.respond(refusal(http::status::precondition_failed,
-                                  "the version in place is " + std::to_string(state.revision)));
-  const std::uint64_t revision = std::get<Configuration>(read).revision;
-  if (revision <= state.revision)
-    return change.respond(refusal(http::status::bad_request, "revision does not exceed the one in place"));
-  State next = state;
-  ++next.sequence;
-  next.revision = revision;
-  next.body = std::make_shared<const std::string>(std::move(change.body));
-  next.fingerprint[revision] = print;
-  if (next.fingerprint.size() > kMostTaken) next.fingerprint.erase(next.fingerprint.begin());
-  change.body.clear();
-  current_ = std::move(change);
-  replica_->propose(now(), next);
+  replica_->propose(at, next);
 }
 
 // --- Gatekeepers and members
--- a/src/control/node.hpp
+++ b/src/control/node.hpp
@@ -5,7 +5,6 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -14,6 +13,7 @@
 
 #include "agreement/replica.hpp"
 #include "agreement/store.hpp"
+#include "control/configuration_service.hpp"
 #include "fleet/follower.hpp"
 #include "fleet/platform.hpp"
 #include "fleet/primary.hpp"
@@ -41,11 +41,6 @@
  private:
   using Call = burlwind::CallServer::Call;
   using Respond = burlwind::CallServer::Respond;
-  struct Change {  // an operator's, not yet answered
-    std::string body;
-    std::uint64_t base = 0;
-    Respond respond;
-  };
 
   // ReplicaHost
   void send(const NodeId& to, const Message& message) override;
@@ -64,8 +59,7 @@
   std::string metrics() const;
   void elsewhere(const std::string& path, const Respond& respond) const;
   void pump();
-  void decide(Change&& change);
-  void join();
+  void join(Millis at);
   void framed(Frame&& frame, const FrameServer::Reply& reply);
   FollowAnswer feed(const FollowCall& call);
   FollowAnswer relayed(const FollowCall& call);
@@ -88,14 +82,13 @@
   Relay relay_;
   std::unique_ptr<Follower> follower_;  // the relay's, of the primary
   FollowAnswer seen_;                   // without a disk: which relays there are, and how far it was told
-  std::deque<Change> waiting_;
-  std::optional<Change> current_;  // proposed
+  ConfigurationService changes_;
   std::set<std::string> joining_;  // relays to be named as holders of shares
   boost::asio::steady_timer tick_, leave_;
   std::optional<burlwind::CallServer> calls_;
   std::optional<FrameServer> frames_;
   bool leaving_ = false;
-  std::uint64_t answered_ = 0, taken_ = 0, turns_ = 0;  // since the start: calls, changes, times as primary
+  std::uint64_t answered_ = 0, turns_ = 0;  // since the start: calls, times as primary
 };
 
 }  // namespace lilacmux
--- a/src/net/frame_kind.hpp
+++ b/src/net/frame_kind.hpp
@@ -23,6 +23,8 @@
     return read();
   } catch (const nlohmann::json::exception&) {
     return std::nullopt;
+  } catch (const std::invalid_argument&) {
+    return std::nullopt;
   }
 }
 
--- a/tests/system/store_test.cpp
+++ b/tests/system/store_test.cpp
@@ -2,8 +2,11 @@
 #include "agreement/store.hpp"
 
 #include <gtest/gtest.h>
+#include <leveldb/db.h>
 #include <unistd.h>
 
+#include <nlohmann/json.hpp>
+
 #include "weak_disk.hpp"
 
 namespace lilacmux::test {
@@ -25,7 +28,8 @@
     out.dataEpoch = number;
     std::string body(bytes, '\0');
     body += std::to_string(number);
-    out.state = {number, number, std::make_shared<const std::string>(std::move(body)), {{number, 77}}, {"g"}};
+    out.state = {number, number, std::make_shared<const std::string>(std::move(body)), {}, {"g"}};
+    out.state.accepted = AcceptedChanges(number / 2, {{number, sha256(*out.state.body)}});
     return out;
   }
 
@@ -51,7 +55,7 @@
   EXPECT_EQ(read->promised, 4u);
   EXPECT_EQ(read->record.epoch, 4u);
   EXPECT_EQ(*read->state.body, *kept.state.body);
-  EXPECT_EQ(read->state.fingerprint, kept.state.fingerprint);
+  EXPECT_EQ(read->state.accepted, kept.state.accepted);
   EXPECT_EQ(read->state.holders, kept.state.holders);
   EXPECT_TRUE(said.empty());
 }
@@ -68,6 +72,56 @@
   EXPECT_EQ(*Store(disk(), log).read()->state.body, "another");
 }
 
+// Files of form 1 told older changes by hashes of 64 bits. The current one is known by its bytes; each other
+// one counts as possibly accepted.
+TEST_F(StoreTest, FormOneIsReadAndItsOlderChangesAreNeitherConfirmedNorRefused) {
+  Durable kept = sample(7);
+  const Digest digest = sha256(*kept.state.body);
+  kept.state.accepted = AcceptedChanges(0, {{3, sha256("three")}, {7, digest}});
+  {
+    Store store(disk(), log);
+    EXPECT_TRUE(store.write(kept));
+  }
+  {
+    leveldb::DB* opened = nullptr;
+    ASSERT_TRUE(leveldb::DB::Open({}, folder_.string(), &opened).ok());
+    const std::unique_ptr<leveldb::DB> db(opened);
+    std::string text;
+    ASSERT_TRUE(db->Get({}, "meta", &text).ok());
+    auto meta = nlohmann::json::parse(text);
+    meta["form"] = 1;
+    meta.erase("forgottenRevision");
+    meta["taken"] = {{3, 333}, {7, 777}};
+    ASSERT_TRUE(db->Put({}, "meta", meta.dump()).ok());
+  }
+  const AcceptedChanges expected(6, {{7, digest}});
+  {
+    Store store(disk(), log);
+    kept = store.read().value();
+    EXPECT_EQ(kept.state.accepted, expected);
+    EXPECT_TRUE(kept.state.accepted.mayHaveForgotten(3));
+    EXPECT_TRUE(store.write(kept));
+  }
+  EXPECT_EQ(Store(disk(), log).read()->state.accepted, expected) << "what an older build left is gone";
+  EXPECT_TRUE(said.empty());
+}
+
+// Whichever state follows another, what is read is what was written last.
+TEST_F(StoreTest, AcceptedChangesAreKeptInStep) {
+  std::mt19937_64 random(1);
+  std::optional<Store> store(std::in_place, disk(), log);
+  for (int round = 0; round < 200; ++round) {
+    Durable next = sample(40);
+    std::vector<AcceptedChange> entries;
+    for (std::uint64_t revision = 10; revision < 40; ++revision)
+      if (random() % 3 > 0) entries.push_back({revision, sha256(std::to_string(random() % 2))});
+    next.state.accepted = AcceptedChanges(random() % 10, entries);
+    ASSERT_TRUE(store->write(next));
+    if (round % 10 == 0) store.emplace(disk(), log);
+    ASSERT_EQ(store->read()->state.accepted, next.state.accepted);
+  }
+}
+
 TEST_F(StoreTest, ALossOfPowerTakesNothingThatWasWritten) {
   for (std::uint64_t seed = 0; seed < 60; ++seed) {
     std::filesystem::remove_all(folder_.parent_path());
