--- a/tests/run.sh
+++ b/tests/run.sh
@@ -36,6 +36,9 @@
 # The model of the core's agreement, and that what its mutants break is found.
 bash tests/model/check.sh
 
+# Operators before the cores: what breaks the decision on their changes is found.
+bash tests/mutants/orders.sh 1500
+
 # The installed package, found and linked by a program outside the tree.
 cmake --install build-test/plain --prefix "$PWD/build-test/prefix" >/dev/null
 cmake -S tests/package -B build-test/package -DCMAKE_PREFIX_PATH="$PWD/build-test/prefix" >/dev/null
