--- a/tests/run.sh
+++ b/tests/run.sh
@@ -15,6 +15,7 @@
 [ -e /usr/include/spdlog/spdlog.h ] || need+=(libspdlog-dev)
 [ -e /usr/include/prometheus/text_serializer.h ] || need+=(prometheus-cpp-dev)
 [ -e /usr/include/xxhash.h ] || need+=(libxxhash-dev)
+[ -e /usr/include/openssl/evp.h ] || need+=(libssl-dev)
 if [ ${#need[@]} -gt 0 ]; then
   apt-get update -qq
   DEBIAN_FRONTEND=noninteractive apt-get install -y -qq "${need[@]}"
@@ -35,6 +36,9 @@
 # The model of the core's agreement, and that what its mutants break is found.
 bash tests/model/check.sh
 
+# Operators before the cores: what breaks the decision on their changes is found.
+bash tests/mutants/orders.sh 1500
+
 # The installed package, found and linked by a program outside the tree.
 cmake --install build-test/plain --prefix "$PWD/build-test/prefix" >/dev/null
 cmake -S tests/package -B build-test/package -DCMAKE_PREFIX_PATH="$PWD/build-test/prefix" >/dev/null
