Send states between members on a connection of their own, as long as they take

Cause, by reading: a state went on the connection of heartbeats, whose calls are given up after 600 ms. One of more than 7 MB at 100 Mbit/s could never arrive, was begun anew every 400 ms, and each heartbeat behind it came late, so that leases ran out. Two backups share that link.

Change: MemberLinks keeps two connections a member, gives a state a time by its size (a quarter of 100 Mbit/s), and does not send one that is under way again.

--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -18,7 +18,6 @@
 using burlwind::callReply;
 using burlwind::CallReply;
 
-constexpr auto kHeardWithin = 600ms;  // a member's word at another, else the connection is given up
 constexpr auto kTick = 100ms;
 constexpr const char* kRetryAfter = "0.2";  // seconds; a primary is chosen within a few of them
 constexpr Millis kRecoverEvery = 1000;
@@ -86,6 +85,7 @@
       settings_(checked(settings)),
       log_(std::move(log)),
       self_(settings.address + ":" + std::to_string(controlPort(settings))),
+      members_(io),
       relay_(settings.name, {self_, settings.zone}, lifeOf(settings.name), now()),
       tick_(io),
       leave_(io) {
@@ -193,11 +193,7 @@
 // --- What the replica asks for
 // -------------------------------------------------------------------------------
 
-void ControlNode::send(const NodeId& to, const Message& message) {
-  auto& peer = peers_[to];
-  if (!peer) peer = std::make_unique<FrameClient>(io_, parseAddress(to, "peer"));
-  peer->call(toFrame(message), kHeardWithin, [](std::optional<Frame>) {});
-}
+void ControlNode::send(const NodeId& to, const Message& message) { members_.send(to, message); }
 
 bool ControlNode::store(const Durable& durable) {
   if (store_->write(durable)) return true;
--- a/src/control/node.hpp
+++ b/src/control/node.hpp
@@ -14,6 +14,7 @@
 #include "agreement/replica.hpp"
 #include "agreement/store.hpp"
 #include "control/configuration_service.hpp"
+#include "control/member_links.hpp"
 #include "fleet/follower.hpp"
 #include "fleet/platform.hpp"
 #include "fleet/primary.hpp"
@@ -75,7 +76,7 @@
   const NodeId self_;
   std::optional<Store> store_;
   Millis recoverAt_ = 0;
-  std::map<NodeId, std::unique_ptr<FrameClient>> peers_;
+  MemberLinks members_;
   std::unique_ptr<Replica> replica_;      // none without a disk
   std::unique_ptr<Primary> lead_;         // while primary
   std::unique_ptr<PlatformWatch> watch_;  // while primary
--- a/tests/system/store_test.cpp
+++ b/tests/system/store_test.cpp
@@ -53,6 +53,8 @@
   ASSERT_TRUE(read);
   EXPECT_EQ(read->record.members, kept.record.members);
   EXPECT_EQ(read->record.leaving, kept.record.leaving);
+  EXPECT_EQ(read->record.previous, kept.record.previous);
+  EXPECT_EQ(read->record.uncertain, kept.record.uncertain);
   EXPECT_EQ(read->promised, 4u);
   EXPECT_EQ(read->record.epoch, 4u);
   EXPECT_EQ(*read->state.body, *kept.state.body);
