--- a/tests/system/operator_world.hpp
+++ b/tests/system/operator_world.hpp
@@ -69,7 +69,7 @@
   static constexpr Millis kLongestTrouble = 20000, kCalm = 8000;
   // After so much silence an operator turns to another node; with a large body it waits for longer.
   static constexpr Millis kSilence = 1000, kLongSilence = 5000;
-  static constexpr double kLarge = 0.2, kDelayed = 0.04;  // shares of the changes, and of the copies sent
+  static constexpr double kLarge = 0.2, kDelayed = 0.1;  // shares of the changes, and of the copies sent
   static constexpr unsigned kMostRedirects = 2;
   static constexpr std::size_t kMostUnderWay = 4;  // of each operator
 
@@ -238,7 +238,7 @@
     ++self.underWay;
     auto call = std::make_shared<Call>();
     call->who = who;
-    call->base = chance() < 0.2 ? std::max(self.sent, self.known) : self.known;
+    call->base = chance() < 0.3 ? std::max(self.sent, self.known) : self.known;
     call->revision = call->base + below(20) / 5;  // 0: not valid
     self.sent = std::max(self.sent, call->revision);
     call->patience = now_ + 2000 + 5000 * chance();
