--- a/tests/system/operators_test.cpp
+++ b/tests/system/operators_test.cpp
@@ -97,7 +97,7 @@
 TEST(AcceptedChanges, ComeBackFromTheWire) {
   for (std::size_t entries = 0; entries < 5; ++entries) {
     Message sent;
-    sent.kind = Message::Kind::sync;
+    sent.kind = Message::Kind::replicate;
     sent.state.emplace();
     sent.state->revision = 9;
     sent.state->body = std::make_shared<const std::string>("body");
@@ -186,7 +186,7 @@
     }
     for (const NodeId& from : names)
       for (const auto& [to, message] : std::exchange(hosts[from].sent, {}))
-        if (synced || message.kind != Message::Kind::sync) replicas[to]->receive(now, message);
+        if (synced || message.kind != Message::Kind::replicate) replicas[to]->receive(now, message);
   };
   const auto primary = [&] {
     return *std::find_if(names.begin(), names.end(),
