Measure what the cores cost by size: `lilacmux experiment capacity`

Cause: docs/CAPACITY.md is to give bytes, memory and processor time for 2,000 gatekeepers, 170,000 servers, 61,000 routes and 370,000 tenants, and no command measured them by size.

`experiment fleet` tells the processor time of each role, and by field where the bytes of a gatekeeper go; it takes the number of servers and up to 500,000 tenants.

--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -14,6 +14,7 @@
 #include "cli/log.hpp"
 #include "cli/operator.hpp"
 #include "control/node.hpp"
+#include "experiment/capacity.hpp"
 #include "experiment/fleet.hpp"
 #include "gateway/gateway.hpp"
 #include "settings/settings.hpp"
@@ -169,7 +170,7 @@
   experiment->require_subcommand(1);
   auto* fleet = experiment->add_subcommand("fleet", "quotas and news over a fleet, and what they cost");
   fleet->add_option("--gatekeepers", plan.gatekeepers)->check(CLI::Range(1, 5000))->capture_default_str();
-  fleet->add_option("--tenants", plan.tenants)->check(CLI::Range(1, 5000))->capture_default_str();
+  fleet->add_option("--tenants", plan.tenants)->check(CLI::Range(1, 500000))->capture_default_str();
   fleet->add_option("--relays", plan.relays)->check(CLI::Range(1, 500))->capture_default_str();
   fleet->add_option("--zones", plan.zones)->check(CLI::Range(1, 100))->capture_default_str();
   fleet->add_option("--requests", plan.perGatekeeper, "a second and gatekeeper")->capture_default_str();
@@ -185,6 +186,18 @@
       ->capture_default_str();
   fleet->add_option("--download-kb", plan.downloadKb, "of each, mean")->capture_default_str();
   fleet->add_option("--primary-gap", plan.primaryGapS, "s without one before that")->capture_default_str();
+  fleet->add_option("--servers", plan.servers, "on the list; 0: three a gatekeeper")->capture_default_str();
+  CapacityTarget target;
+  auto* capacity =
+      experiment->add_subcommand("capacity", "bytes, memory and processor time by size, as a table");
+  capacity->add_option("--routes", target.routes)->check(CLI::Range(1, 1000000))->capture_default_str();
+  capacity->add_option("--tenants", target.tenants)->check(CLI::Range(1, 1000000))->capture_default_str();
+  capacity->add_option("--services", target.services)->check(CLI::Range(1, 100000))->capture_default_str();
+  capacity->add_option("--servers", target.servers)->check(CLI::Range(1, 1000000))->capture_default_str();
+  capacity->add_option("--gatekeepers", target.gatekeepers)
+      ->check(CLI::Range(1, 100000))
+      ->capture_default_str();
+  capacity->add_option("--relays", target.relays)->check(CLI::Range(1, 10000))->capture_default_str();
   try {
     app.parse(count, words);
   } catch (const CLI::ParseError& error) {
@@ -196,6 +209,10 @@
       std::printf("%s\n", lilacmux::asJson(plan, playFleet(plan)).c_str());
       return 0;
     }
+    if (capacity->parsed()) {
+      std::printf("%s", asTable(measureCapacity(target)).c_str());
+      return 0;
+    }
     if (status->parsed()) return Operator::status(parseAddress(at, "at"), asJson);
     if (inspect->parsed()) return Operator::inspect(configuration);
     if (snapshot->parsed()) {
--- a/src/experiment/fleet.cpp
+++ b/src/experiment/fleet.cpp
@@ -10,6 +10,7 @@
 #include <random>
 #include <vector>
 
+#include "experiment/measure.hpp"
 #include "fleet/pace.hpp"
 #include "fleet/primary.hpp"
 #include "fleet/relay.hpp"
@@ -142,7 +143,8 @@
     primary_.emplace(now_, (round + 1) << 20, named_, rule_, RetryRule{});
     configure();
     std::vector<Instance> servers;
-    for (unsigned s = 0; s < 3 * plan_.gatekeepers; ++s)
+    const unsigned count = plan_.servers > 0 ? plan_.servers : 3 * plan_.gatekeepers;
+    for (unsigned s = 0; s < count; ++s)
       servers.push_back({"i-" + std::to_string(s), "service", "10.1.0.1:80", "z0", 3, false, 0});
     primary_->servers(servers);
   }
@@ -161,24 +163,43 @@
   // What goes over the wire is written and read, and counted at both ends.
   template <class M>
   Frame sent(const M& message, FleetFigures::Cost& from, FleetFigures::Cost& to) {
-    const Frame frame = toFrame(message);
-    std::string bytes = encode(frame);
+    std::string bytes;
+    {
+      const ProcessorCharge charge(processorOf(from));
+      bytes = encode(toFrame(message));
+    }
     if (counted_) {
       from.bytes += static_cast<double>(bytes.size());
       to.bytes += static_cast<double>(bytes.size());
     }
+    const ProcessorCharge charge(processorOf(to));
     Frame out;
     if (decode(bytes, out) != Decoded::frame) throw std::logic_error("a frame that is not read back");
     return out;
   }
+  // Where processor time is added up; apart before the count begins.
+  double& processorOf(FleetFigures::Cost& cost) { return counted_ ? cost.processorMs : uncountedMs_; }
+  // Adds what each field of a message takes on the wire.
+  void countFields(std::map<std::string, double>& fields, const Frame& frame) const {
+    if (!counted_) return;
+    constexpr double kLengths = 8, kBraces = 2;
+    fields["frame"] += kLengths + kBraces;
+    for (const auto& [name, value] : frame.head.items())  // with the name's quotes, a colon and a comma
+      fields[name] += static_cast<double>(name.size() + value.dump().size() + 4);
+    if (!frame.body.empty()) fields["body"] += static_cast<double>(frame.body.size());
+  }
 
   void askPrimary(std::size_t r) {
     RelayNode& relay = *relays_[r];
     if (relay.out) return;
     relay.out = true;
     const std::uint64_t turn = ++relay.turn;
-    const Frame call =
-        sent(relay.core->asks(now_, relay.pace.ask(now_, relay.known)), relay.cost, primaryCost_);
+    FollowCall asks;
+    {
+      const ProcessorCharge charge(processorOf(relay.cost));
+      asks = relay.core->asks(now_, relay.pace.ask(now_, relay.known));
+    }
+    const Frame call = sent(asks, relay.cost, primaryCost_);
     at(now_ + FollowPace::kAnswerWithin, [this, r, turn] {
       RelayNode& late = *relays_[r];
       if (late.turn != turn || !late.out) return;
@@ -188,19 +209,25 @@
     });
     if (relay.cut || relay.dead || noPrimary_) return;
     at(now_ + plan_.oneWayMs, [this, r, turn, call] {
-      const auto read = *followCallOf(call);
       FollowAnswer answer;
-      const bool named = !named_.insert(plainName(read.name)).second;
       if (counted_) primaryCost_.calls += 1;
-      primary_->feed(now_, read, named, answer);
+      {
+        const ProcessorCharge charge(processorOf(primaryCost_));
+        const auto read = *followCallOf(call);
+        const bool named = !named_.insert(plainName(read.name)).second;
+        primary_->feed(now_, read, named, answer);
+      }
       const Frame back = sent(answer, primaryCost_, relays_[r]->cost);
       at(now_ + plan_.oneWayMs, [this, r, turn, back] {
         RelayNode& to = *relays_[r];
         if (to.turn != turn || !to.out) return;
         to.out = false;
-        const auto news = *followAnswerOf(Frame(back));
-        to.known = news.known;
-        to.core->news(now_, news, to.pace.askedAt());
+        {
+          const ProcessorCharge charge(processorOf(to.cost));
+          const auto news = *followAnswerOf(Frame(back));
+          to.known = news.known;
+          to.core->news(now_, news, to.pace.askedAt());
+        }
         askPrimaryIn(r, to.known ? to.pace.rest(now_) : 1);
       });
     });
@@ -225,9 +252,14 @@
     call.relays = node.relaysAre;
     const ShareTell what = node.pace.ask(now_, node.known);
     call.whole = what == ShareTell::whole;
-    call.demands = node.admission.demands(now_, what);
+    {
+      const ProcessorCharge charge(processorOf(node.cost));
+      call.demands = node.admission.demands(now_, what);
+    }
     RelayNode& relay = *relays_[node.relay];
     const Frame frame = sent(call, node.cost, relay.cost);
+    if (counted_) ++gatekeeperCalls_;
+    countFields(figures_.callFields, frame);
     const std::size_t r = node.relay;
     if (relay.dead) {
       at(now_ + kConnectWithin, [this, g] { elsewhere(g); });
@@ -236,7 +268,11 @@
     at(now_ + plan_.nearMs, [this, g, r, turn, frame] {
       RelayNode& at1 = *relays_[r];
       if (counted_) at1.cost.calls += 1;
-      const FollowAnswer answer = at1.core->follow(now_, *followCallOf(frame));
+      FollowAnswer answer;
+      {
+        const ProcessorCharge charge(processorOf(at1.cost));
+        answer = at1.core->follow(now_, *followCallOf(frame));
+      }
       if (at1.core->isShort() && !at1.out) {
         if (const auto wait = at1.pace.hurry(now_, FollowPace::kRelayGap)) {
           const std::uint64_t turnOfRelay = at1.turn;
@@ -246,8 +282,16 @@
         }
       }
       const Frame back = sent(answer, at1.cost, gatekeepers_[g]->cost);
+      countFields(figures_.answerFields, back);
       at(throughLink(g, now_ + plan_.nearMs, static_cast<double>(encode(back).size())),
-         [this, g, turn, back] { answered(g, turn, *followAnswerOf(Frame(back))); });
+         [this, g, turn, back] {
+           std::optional<FollowAnswer> read;
+           {
+             const ProcessorCharge charge(processorOf(gatekeepers_[g]->cost));
+             read = followAnswerOf(Frame(back));
+           }
+           answered(g, turn, *read);
+         });
     });
   }
   // When so many bytes that come to a gatekeeper's link are through it.
@@ -278,8 +322,11 @@
     node.known = answer.known;
     if (!answer.relays.empty()) node.relaysAre = answer.relaysAre;
     const Millis sentAt = node.pace.askedAt();
-    node.admission.heard(now_, sentAt, sentAt - answer.ageMs + ShareTiming{}.lease);
-    for (const ShareGrant& grant : answer.grants) node.admission.take(now_, grant, answer.grant);
+    {
+      const ProcessorCharge charge(processorOf(node.cost));
+      node.admission.heard(now_, sentAt, sentAt - answer.ageMs + ShareTiming{}.lease);
+      for (const ShareGrant& grant : answer.grants) node.admission.take(now_, grant, answer.grant);
+    }
     askRelayIn(g, node.known ? node.pace.rest(now_) : 1);
     lookAt(node);
     hurry(g);
@@ -376,11 +423,21 @@
     const double s = plan_.seconds;
     primaryCost_.looks = static_cast<double>(primary_->looks());
     const auto perS = [s](FleetFigures::Cost cost, double parts) {
-      return FleetFigures::Cost{cost.calls / s / parts, cost.bytes / s / parts, cost.looks / s / parts};
+      return FleetFigures::Cost{cost.calls / s / parts, cost.bytes / s / parts, cost.looks / s / parts,
+                                cost.processorMs / s / parts};
     };
     FleetFigures::Cost relays, nodes;
-    for (const auto& relay : relays_) relays.calls += relay->cost.calls, relays.bytes += relay->cost.bytes;
-    for (const auto& node : gatekeepers_) nodes.bytes += node->cost.bytes;
+    const auto sum = [](FleetFigures::Cost& into, const FleetFigures::Cost& cost) {
+      into.calls += cost.calls;
+      into.bytes += cost.bytes;
+      into.processorMs += cost.processorMs;
+    };
+    for (const auto& relay : relays_) sum(relays, relay->cost);
+    for (const auto& node : gatekeepers_) sum(nodes, node->cost);
+    const double gatekeeperSeconds = s * static_cast<double>(gatekeepers_.size());
+    for (auto* fields : {&figures_.callFields, &figures_.answerFields})
+      for (auto& [name, bytes] : *fields) bytes /= gatekeeperSeconds;
+    figures_.gatekeeperCalls = static_cast<double>(gatekeeperCalls_) / gatekeeperSeconds;
     figures_.primary = perS(primaryCost_, 1);
     figures_.relay = perS(relays, static_cast<double>(relays_.size()));
     figures_.gatekeeper = perS(nodes, static_cast<double>(gatekeepers_.size()));
@@ -407,6 +464,8 @@
   std::set<std::string> named_;
   std::optional<Primary> primary_;
   FleetFigures::Cost primaryCost_;
+  double uncountedMs_ = 0;
+  std::uint64_t gatekeeperCalls_ = 0;
   std::vector<Millis> waits_;
   FleetFigures figures_;
 };
@@ -417,7 +476,10 @@
 
 std::string asJson(const FleetPlan& plan, const FleetFigures& f) {
   const auto cost = [](const FleetFigures::Cost& c) {
-    return nlohmann::json{{"calls_per_s", c.calls}, {"bytes_per_s", c.bytes}, {"looks_per_s", c.looks}};
+    return nlohmann::json{{"calls_per_s", c.calls},
+                          {"bytes_per_s", c.bytes},
+                          {"looks_per_s", c.looks},
+                          {"processor_ms_per_s", c.processorMs}};
   };
   const nlohmann::json out = {{"gatekeepers", plan.gatekeepers},
                               {"tenants", plan.tenants},
@@ -432,7 +494,10 @@
                               {"version_everywhere_ms", f.versionEverywhereMs},
                               {"primary", cost(f.primary)},
                               {"relay", cost(f.relay)},
-                              {"gatekeeper", cost(f.gatekeeper)}};
+                              {"gatekeeper", cost(f.gatekeeper)},
+                              {"gatekeeper_calls_per_s", f.gatekeeperCalls},
+                              {"gatekeeper_call_bytes_per_s", f.callFields},
+                              {"gatekeeper_answer_bytes_per_s", f.answerFields}};
   return out.dump(2);
 }
 
--- a/src/experiment/fleet.hpp
+++ b/src/experiment/fleet.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <string>
 
 namespace lilacmux {
@@ -13,6 +14,7 @@
   unsigned tenants = 86;
   unsigned relays = 6;
   unsigned zones = 3;
+  unsigned servers = 0;       // on the platform's list; 0: three a gatekeeper
   double perGatekeeper = 21;  // requests a second
   double headroom = 1.6;      // a tenant's quota, of what it asks for
   double flood = 0;           // not 0: the largest tenant asks for so many times its quota
@@ -33,10 +35,14 @@
   double waitedMs = 0;    // mean, of those that waited for a token
   double longWaitMs = 0;  // which one in a hundred of those exceeds
   std::uint64_t waited = 0;
-  // A second, at each of these: calls answered, bytes in and out, ledgers and holdings looked at.
+  // A second, at each of these: calls answered, bytes in and out, ledgers and holdings looked at, and ms of
+  // processor time for control (writing and reading messages, and what the core does with them).
   struct Cost {
-    double calls = 0, bytes = 0, looks = 0;
+    double calls = 0, bytes = 0, looks = 0, processorMs = 0;
   };
+  // A second, between a gatekeeper and its relay: bytes of each field, the frame's own as "frame".
+  std::map<std::string, double> callFields, answerFields;
+  double gatekeeperCalls = 0;       // a second, of one gatekeeper
   Cost primary, relay, gatekeeper;  // the latter two: the mean of all
   double versionEverywhereMs = 0;   // from the acknowledgement on
 };
--- /dev/null
+++ b/src/experiment/measure.hpp
@@ -0,0 +1,48 @@
+// Processor time and memory that a piece of work takes in this process, for the experiments. The processor
+// time is that of the process alone, so a busy machine changes it little.
+#pragma once
+
+#include <algorithm>
+#include <cstddef>
+#include <vector>
+
+namespace lilacmux {
+
+// Processor time of this process since its start.
+double processorMs();
+
+// Bytes that are allocated from the heap now, with the allocator's own overhead.
+std::size_t allocatedBytes();
+
+// The most resident memory since the last call of `resetPeakBytes`; 0 where the kernel does not tell.
+std::size_t peakBytes();
+std::size_t residentBytes();
+void resetPeakBytes();
+
+// The median of the processor times of `runs` runs.
+template <class Work>
+double medianProcessorMs(unsigned runs, Work work) {
+  std::vector<double> times;
+  for (unsigned run = 0; run < runs; ++run) {
+    const double from = processorMs();
+    work();
+    times.push_back(processorMs() - from);
+  }
+  std::sort(times.begin(), times.end());
+  return times[times.size() / 2];
+}
+
+// Adds the processor time of its scope to `total`.
+class ProcessorCharge {
+ public:
+  explicit ProcessorCharge(double& totalMs) : totalMs_(totalMs), from_(processorMs()) {}
+  ~ProcessorCharge() { totalMs_ += processorMs() - from_; }
+  ProcessorCharge(const ProcessorCharge&) = delete;
+  ProcessorCharge& operator=(const ProcessorCharge&) = delete;
+
+ private:
+  double& totalMs_;
+  const double from_;
+};
+
+}  // namespace lilacmux
