Do not use the watch over the platform's list once it has gone

Where its timer runs out in the same turn of the loop, the timer's handler stands behind that one and is called without an error, with a `this` that has been freed. A loop that is held up makes that likely.

Change: the timers' handlers keep a flag that the destructor clears, as those of FrameClient do.

--- a/src/fleet/platform.cpp
+++ b/src/fleet/platform.cpp
@@ -70,9 +70,13 @@
 }
 
 void PlatformWatch::again(std::chrono::milliseconds wait) {
-  timer_.expires_after(std::max<std::chrono::milliseconds>(wait, least_));
-  timer_.async_wait([this](const boost::system::error_code& error) {
-    if (!error) round();
+  after(std::max<std::chrono::milliseconds>(wait, least_), [this] { round(); });
+}
+
+void PlatformWatch::after(std::chrono::milliseconds wait, std::function<void()> then) {
+  timer_.expires_after(wait);
+  timer_.async_wait([alive = alive_, then = std::move(then)](const boost::system::error_code& error) {
+    if (!error && *alive) then();
   });
 }
 
@@ -92,13 +96,8 @@
     if (const auto* why = std::get_if<std::string>(&read)) return failed(*why, false);
     ListPage& got = std::get<ListPage>(read);
     gathered_.insert(gathered_.end(), got.instances.begin(), got.instances.end());
-    if (!got.next.empty() && ++pages_ < kMostPages) {
-      timer_.expires_after(least_);
-      timer_.async_wait([this, next = got.next](const boost::system::error_code& error) {
-        if (!error) page(next);
-      });
-      return;
-    }
+    if (!got.next.empty() && ++pages_ < kMostPages)
+      return after(least_, [this, next = got.next] { page(next); });
     failures_ = 0;
     // Servers do not all leave at once; a list that says so is more likely a wrong one.
     if (gathered_.empty() && had_ > 0 && ++emptyRounds_ < kEmptyBelieved) return again(kEvery);
--- a/src/fleet/platform.hpp
+++ b/src/fleet/platform.hpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <variant>
@@ -29,12 +30,17 @@
 
   PlatformWatch(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& address, double ratePerS,
                 Told told, Log log);
+  ~PlatformWatch() { *alive_ = false; }
+  PlatformWatch(const PlatformWatch&) = delete;
+  PlatformWatch& operator=(const PlatformWatch&) = delete;
 
  private:
   void round();
   void page(const std::string& token);
   void failed(const std::string& why, bool refused);
   void again(std::chrono::milliseconds wait);
+  // Calls `then` after that time, unless this one has gone by then.
+  void after(std::chrono::milliseconds wait, std::function<void()> then);
 
   Fetcher fetcher_;
   boost::asio::steady_timer timer_;
@@ -46,6 +52,8 @@
   unsigned emptyRounds_ = 0;
   unsigned failures_ = 0;  // rounds in a row
   unsigned pages_ = 0;
+  // A timer that has run out before this one goes calls its handler afterwards, and without an error.
+  const std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 }  // namespace lilacmux
