--- a/src/net/frame_kind.hpp
+++ b/src/net/frame_kind.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <optional>
+#include <stdexcept>
 #include <string>
 
 #include "net/frames.hpp"
