Split the simulated core in the storms, and count overlapping losses

Some members, up to as many as the core is to bear, reach each other and nobody else, with clients on either side. A member that is hit again while it counts as lost counts until the later of the two ends; before, the later trouble could shorten the first.

--- a/tests/system/core_storm.hpp
+++ b/tests/system/core_storm.hpp
@@ -34,6 +34,7 @@
     replace,
     killAll,
     retire,
+    split,
     changes,
     calm,
     rest
@@ -48,7 +49,7 @@
   std::size_t other = 0;
   Millis after = 0, lasts = 0;  // ms: since the one before has ended, and how long
   Millis delay = 0;             // ms after the moment
-  std::size_t losses = 0;       // killAll: so many stay away for `lasts`
+  std::size_t losses = 0;       // killAll: so many stay away for `lasts`; split: on the lesser side
   bool wiped = false;           // killAll: those lose their disks
 };
 
@@ -65,8 +66,8 @@
 };
 
 inline std::string describe(const Trouble& t) {
-  static const char* const kinds[] = {"kill",    "wipe",     "cut",    "one way", "freeze", "stall", "full",
-                                      "replace", "kill all", "retire", "changes", "calm",   "rest"};
+  static const char* const kinds[] = {"kill",    "wipe",     "cut",    "one way", "freeze",  "stall", "full",
+                                      "replace", "kill all", "retire", "split",   "changes", "calm",  "rest"};
   static const char* const moments[] = {"",
                                         "a promise",
                                         "a win",
@@ -91,7 +92,7 @@
 
 inline Trouble drawHasty(Random& random, bool hasty) {
   Trouble out;
-  out.kind = static_cast<Trouble::Kind>(random.index(9));
+  out.kind = static_cast<Trouble::Kind>(random.index(static_cast<std::size_t>(Trouble::Kind::changes)));
   if (hasty && random.chance() < 0.6)
     out.kind = random.chance() < 0.5 ? Trouble::Kind::cut : Trouble::Kind::oneWay;
   out.victim = random.index(8);
@@ -106,9 +107,9 @@
 inline Trouble::Kind drawToleratedKind(Random& random) {
   using Kind = Trouble::Kind;
   static const std::pair<Kind, int> weights[] = {
-      {Kind::killAll, 32}, {Kind::kill, 18}, {Kind::wipe, 10},  {Kind::calm, 8},   {Kind::rest, 7},
-      {Kind::freeze, 6},   {Kind::cut, 5},   {Kind::oneWay, 4}, {Kind::retire, 4}, {Kind::replace, 2},
-      {Kind::stall, 2},    {Kind::full, 1},  {Kind::changes, 1}};
+      {Kind::killAll, 30}, {Kind::kill, 16}, {Kind::wipe, 10},  {Kind::calm, 8},   {Kind::rest, 7},
+      {Kind::freeze, 6},   {Kind::cut, 4},   {Kind::oneWay, 4}, {Kind::retire, 5}, {Kind::replace, 2},
+      {Kind::split, 4},    {Kind::stall, 2}, {Kind::full, 1},   {Kind::changes, 1}};
   int left = static_cast<int>(random.index(100));
   for (const auto& [kind, weight] : weights)
     if ((left -= weight) < 0) return kind;
@@ -139,7 +140,7 @@
             : who < 0.75 ? Trouble::Who::atMoment
             : who < 0.9  ? Trouble::Who::primary
                          : Trouble::Who::backup;
-  if (out.kind == Kind::killAll) {
+  if (out.kind == Kind::killAll || out.kind == Kind::split) {
     out.losses = random.index(losses + 1);
     out.wiped = random.chance() < 0.2;
   }
@@ -178,24 +179,35 @@
   explicit Tolerance(std::size_t most) : most_(most) {}
   bool allows(const NodeId& node, Millis now) const {
     std::size_t others = 0;
-    for (const auto& [lost, until] : until_)
-      if (lost != node && until > now) ++others;
+    for (const auto& [name, lost] : lost_)
+      if (name != node && (lost.away || lost.until > now)) ++others;
     return others < most_;
   }
   // It is back at that time.
-  void lose(const NodeId& node, Millis backAt) { until_[node] = backAt + kCountsFor; }
-  void loseForGood(const NodeId& node) { until_[node] = std::numeric_limits<Millis>::infinity(); }
-  void replaced(const NodeId& node) { until_.erase(node); }
+  void lose(const NodeId& node, Millis backAt) {
+    Lost& lost = lost_[node];
+    lost.until = std::max(lost.until, backAt + kCountsFor);
+  }
+  void goesAway(const NodeId& node) { lost_[node].away = true; }
+  void cameBack(const NodeId& node, Millis now) {
+    lost_[node].away = false;
+    lose(node, now);
+  }
+  void replaced(const NodeId& node) { lost_.erase(node); }
   // Nothing is repaired while all are down.
   void allWereKilled(Millis now, Millis backAt) {
-    for (auto& [node, until] : until_)
-      if (until > now) until = std::max(until, backAt + kCountsFor);
+    for (auto& [name, lost] : lost_)
+      if (lost.until > now) lost.until = std::max(lost.until, backAt + kCountsFor);
   }
 
  private:
   static constexpr Millis kCountsFor = 4000;
+  struct Lost {
+    bool away = false;  // until it is said to be back
+    Millis until = 0;
+  };
   const std::size_t most_;
-  std::map<NodeId, Millis> until_;
+  std::map<NodeId, Lost> lost_;
 };
 
 class StormPlay {
@@ -405,6 +417,8 @@
         if (!maySpare() || !world_.up(one)) return;
         startSpare();
         return later(shortOf(t), [this, one] { retire(one); });
+      case Kind::split:
+        return split(t, one);
       case Kind::killAll:
       case Kind::changes:
       case Kind::calm:
@@ -413,6 +427,24 @@
     }
   }
 
+  // Some nodes reach each other and nobody else.
+  void split(const Trouble& t, const NodeId& first) {
+    std::set<NodeId> side;
+    for (std::size_t i = 0; i < started_ && side.size() < std::max<std::size_t>(1, t.losses); ++i) {
+      const NodeId node = i == 0 ? first : nodeAt(t.other + i);
+      if (side.contains(node) || gone_.contains(node) || !allows(node)) continue;
+      side.insert(node);
+      tolerance_.lose(node, world_.now() + shortOf(t));
+    }
+    const auto set = [this, side, others = started_](bool yes) {
+      for (std::size_t i = 0; i < others; ++i)
+        for (const NodeId& node : side)
+          if (!side.contains(world_.names()[i])) world_.cutBothWays(node, world_.names()[i], yes);
+    };
+    set(true);
+    later(shortOf(t), [set] { set(false); });
+  }
+
   // What lasts for a time and then ends by itself.
   static Millis shortOf(const Trouble& t) { return std::min(t.lasts, kLongest); }
   void later(Millis span, std::function<void()> what) {
@@ -424,18 +456,17 @@
   }
   void impair(const NodeId& node, const Trouble& t, std::function<void(bool)> set) {
     set(true);
-    countAsLost(node, shortOf(t));
+    tolerance_.lose(node, world_.now() + shortOf(t));
     later(shortOf(t), [set = std::move(set)] { set(false); });
   }
   void freeze(const NodeId& node, const Trouble& t) {
     world_.freeze(node, shortOf(t));
-    countAsLost(node, shortOf(t));
+    tolerance_.lose(node, world_.now() + shortOf(t));
   }
-  void countAsLost(const NodeId& node, Millis span) { tolerance_.lose(node, world_.now() + span); }
 
   void away(const NodeId& node, Millis lasts, bool counts = true) {
     world_.kill(node);
-    if (counts) tolerance_.loseForGood(node);
+    if (counts) tolerance_.goesAway(node);
     const std::uint64_t number = ++awayNumber_;
     away_[node] = {number, counts};
     if (lasts >= kStaysAway) return;
@@ -464,7 +495,7 @@
   void lose(std::set<NodeId>& lost, const Trouble& t, const NodeId& node) {
     if (lost.size() >= t.losses || gone_.contains(node) || lost.contains(node) || !allows(node)) return;
     lost.insert(node);
-    tolerance_.loseForGood(node);
+    tolerance_.goesAway(node);
   }
   // A machine that does not come back; another one is started for it.
   void remove(const NodeId& node) {
@@ -472,11 +503,12 @@
     away_.erase(node);
     gone_.insert(node);
     notReplaced_.insert(node);
-    tolerance_.loseForGood(node);
+    tolerance_.goesAway(node);
   }
   // The new one is there first; then this one leaves in order.
   void retire(const NodeId& node) {
     if (gone_.contains(node) || !world_.up(node) || !allows(node)) return;
+    if (!tolerated() && !isWhole()) return;
     world_.resign(node);
     remove(node);
   }
@@ -513,7 +545,7 @@
   void start(const NodeId& node) {
     const auto found = away_.find(node);
     if (found != away_.end()) {
-      if (found->second.counts) tolerance_.lose(node, world_.now());
+      if (found->second.counts) tolerance_.cameBack(node, world_.now());
       away_.erase(found);
     }
     std::vector<NodeId> seeds;
--- a/tests/system/core_storms.cpp
+++ b/tests/system/core_storms.cpp
@@ -91,6 +91,7 @@
 }  // namespace
 
 int main(int count, char** arguments) {
+  std::setvbuf(stdout, nullptr, _IOLBF, BUFSIZ);  // a failure is told of at once
   std::vector<std::string> words(arguments + 1, arguments + count);
   Settings settings;
   const auto flag = std::find(words.begin(), words.end(), "--threads");
--- a/tests/system/core_world.hpp
+++ b/tests/system/core_world.hpp
@@ -121,6 +121,10 @@
     note(from, (yes ? "does not reach " : "reaches again ") + to);
     yes ? (void)oneWay_.insert({from, to}) : (void)oneWay_.erase({from, to});
   }
+  void cutBothWays(const NodeId& one, const NodeId& other, bool yes) {
+    cutOneWay(one, other, yes);
+    cutOneWay(other, one, yes);
+  }
   const std::optional<Durable>& disk(const NodeId& name) { return nodeOf(name).disk; }
   bool up(const NodeId& name) { return nodeOf(name).replica != nullptr; }
   Replica& at(const NodeId& name) { return *nodeOf(name).replica; }
