Start a node by its own name in the storms, and shrink to what is unsafe

A node that was brought back was started by a reference into the list that it is taken from, which ends there: storms came out differently from run to run, and "no rest with all back" was told of cores at rest. What is unsafe is told before what did not come to rest, and a storm that was unsafe is shrunk to one that still is.

--- a/tests/system/core_storm.hpp
+++ b/tests/system/core_storm.hpp
@@ -237,9 +237,12 @@
       if (!world_.violations.empty() || !failures_.empty()) break;
     }
     if (failures_.empty() && world_.violations.empty()) end();
-    for (const std::string& violation : world_.violations) failures_.push_back(violation);
-    return failures_;
+    std::vector<std::string> out = world_.violations;
+    out.insert(out.end(), failures_.begin(), failures_.end());
+    return out;
   }
+  // Whether something was that must never be; else it only did not come to rest.
+  bool wasUnsafe() const { return !world_.violations.empty(); }
 
  private:
   using Kind = Trouble::Kind;
@@ -542,7 +545,7 @@
   void startSpare() {
     if (maySpare()) start(world_.names()[started_++]);
   }
-  void start(const NodeId& node) {
+  void start(NodeId node) {  // not by reference: what it was taken from goes
     const auto found = away_.find(node);
     if (found != away_.end()) {
       if (found->second.counts) tolerance_.cameBack(node, world_.now());
@@ -582,18 +585,24 @@
 
 // The troubles that a failing storm cannot do without.
 inline Storm shrink(Storm storm) {
+  StormPlay whole(storm);
+  whole.run();
+  const auto failsToo = [unsafe = whole.wasUnsafe()](const Storm& less) {
+    StormPlay play(less);
+    return !play.run().empty() && (!unsafe || play.wasUnsafe());
+  };
   for (std::size_t i = 0; i < storm.troubles.size();) {
     Storm less = storm;
     less.troubles.erase(less.troubles.begin() + static_cast<long>(i));
-    if (StormPlay(less).run().empty())
-      ++i;
-    else
+    if (failsToo(less))
       storm = std::move(less);
+    else
+      ++i;
   }
   for (double Storm::*const share : {&Storm::loss, &Storm::late, &Storm::twice, &Storm::drift}) {
     Storm less = storm;
     less.*share = 0;
-    if (!StormPlay(less).run().empty()) storm = std::move(less);
+    if (failsToo(less)) storm = std::move(less);
   }
   return storm;
 }
