--- a/tests/system/replica_test.cpp
+++ b/tests/system/replica_test.cpp
@@ -446,7 +446,9 @@
 // A fixed set of storms; `core_storms` plays on for as long as it is told. tests/mutants/ shows that storms
 // find each of the faults that they once found.
 TEST(Replica, BearsAFixedSetOfStorms) {
-  for (std::uint64_t seed = 0; seed < 1000; ++seed) {
+  std::vector<std::uint64_t> seeds{4910, 7960, 14886, 16816};  // stood still before elections were mended
+  for (std::uint64_t seed = 0; seed < 1000; ++seed) seeds.push_back(seed);
+  for (const std::uint64_t seed : seeds) {
     const Storm storm = drawStorm(seed);
     const auto failures = StormPlay(storm).run();
     if (failures.empty()) continue;
