--- a/src/experiment/capacity.cpp
+++ b/src/experiment/capacity.cpp
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include "agreement/messages.hpp"
+#include "control/configuration_register.hpp"
 #include "experiment/measure.hpp"
 #include "fleet/change_log.hpp"
 #include "fleet/platform.hpp"
@@ -177,13 +178,14 @@
   const std::string body =
       exampleConfiguration(part(target.routes, of), part(target.tenants, of), part(target.services, of));
   Message message;
-  message.kind = Message::Kind::sync;
+  message.kind = Message::Kind::replicate;
   message.from = "10.1.0.13:7560";
   State state;
   state.revision = 1;
   state.body = std::make_shared<const std::string>(body);
-  constexpr unsigned kFingerprints = 64;
-  for (std::uint64_t f = 1; f <= kFingerprints; ++f) state.fingerprint[f * 1000] = f * 0x9e3779b97f4a7c15ULL;
+  constexpr std::uint64_t kAccepted = ConfigurationRegister::kDefaultCapacity;
+  for (std::uint64_t revision = 1; revision <= kAccepted; ++revision)
+    state.accepted.add({revision, sha256(std::to_string(revision))}, kAccepted);
   for (std::size_t r = 0; r < target.relays; ++r)
     state.holders.insert("edge-halle-gaswerk-" + std::to_string(r));
   message.state = state;
@@ -333,7 +335,7 @@
 // A heartbeat between two members of the core.
 void measureHeartbeat(Table& table, std::size_t members) {
   Message message;
-  message.kind = Message::Kind::beat;
+  message.kind = Message::Kind::heartbeat;
   message.epoch = message.record.epoch = 3 << 20;
   message.dataEpoch = message.record.previous = 2 << 20;
   message.sequence = 1000, message.sentAt = 12345678.123456;
--- a/tests/system/core_world.hpp
+++ b/tests/system/core_world.hpp
@@ -227,8 +227,8 @@
     void send(const NodeId& to, const Message& message) override {
       if (node.dying) return;
       Fate fate = Fate::goesOn;
-      if (message.kind == Message::Kind::sync) fate = world.fateOf(Moment::sendsState, self);
-      if (message.kind == Message::Kind::synced) fate = world.fateOf(Moment::confirmsState, self);
+      if (message.kind == Message::Kind::replicate) fate = world.fateOf(Moment::sendsState, self);
+      if (message.kind == Message::Kind::replicateAck) fate = world.fateOf(Moment::confirmsState, self);
       if (fate != Fate::diesBefore) world.post(self, to, message);
       if (fate != Fate::goesOn) node.dying = true;
     }
