--- a/tests/model/check.sh
+++ b/tests/model/check.sh
@@ -53,6 +53,8 @@
 three="members=3 losses=1" five="members=5 losses=2"
 search three-members holds $three rounds=3 places=1 changes=1 wipes=1
 search three-and-a-spare holds $three spares=1 rounds=2 places=2 renewals=1 replacements=1 changes=1 wipes=1
+search three-from-the-start holds $three rounds=2 places=1 changes=1 wipes=1 rest=0
+search three-grow-to-four holds members=3 losses=2 spares=1 rounds=2 places=2 renewals=0 replacements=1 changes=1 wipes=1
 search five-members holds $five rounds=3 places=0 changes=1
 search five-two-disks-lost holds $five rounds=2 places=0 changes=1 wipes=2
 search five-with-a-renewal holds $five rounds=2 places=1 renewals=1 changes=1
@@ -60,6 +62,7 @@
 if [ "${1:-}" = long ]; then
   search three-members-long bounded $three rounds=3 places=1 changes=2 wipes=1 promises=1
   search three-and-a-spare-long bounded $three spares=1 rounds=2 places=3 changes=2 wipes=1
+  search three-grow-to-five-long bounded members=3 losses=2 spares=2 rounds=2 places=3 renewals=1 changes=1 wipes=1
   search five-members-long bounded $five rounds=3 places=0 changes=1 wipes=1
   search five-with-renewals-long bounded $five rounds=3 places=1 renewals=1 changes=1
   search five-and-a-spare-long bounded $five spares=1 rounds=2 places=3 renewals=1 replacements=1 changes=1 wipes=1
--- a/tests/model/core_search.cpp
+++ b/tests/model/core_search.cpp
@@ -248,6 +248,7 @@
       {"threads", &out.threads},
       {"bits", &out.bits},
       {"choice", &out.choice},
+      {"rest", &out.bounds.atRest},
       {"renewals", &out.bounds.renewals},
       {"replacements", &out.bounds.replacements},
   };
--- a/tests/model/model_rules.hpp
+++ b/tests/model/model_rules.hpp
@@ -20,7 +20,9 @@
   unsigned changes = 2;       // the operators', the one acknowledged at the start included
   unsigned wipes = 0;         // disks lost
   unsigned vainPromises = 0;
+  unsigned atRest = 1;  // at the start; 0: the system starts for the first time, and spares are empty
   unsigned nodes() const { return members + spares; }
+  unsigned wantedMembers() const { return 2 * losses + 1; }
 };
 
 enum class Mutant {
@@ -58,7 +60,7 @@
 
   Rules(const Bounds& bounds, Mutant mutant) : bounds_(bounds), mutant_(mutant) {}
 
-  // At rest in the first round, with one change acknowledged.
+  // At rest in the first round, with one change acknowledged; or before the first round.
   State initial() const;
   void successors(const State& state, const Visit& visit) const;
   // Whether the members that are left can choose a primary, whichever others are gone within the tolerance.
@@ -72,6 +74,8 @@
     bool wins = false;
   };
 
+  State atRest() const;
+  State beforeFirstRound() const;
   bool canChoose(const State& state, Mask present) const;
   bool decides(const Record& record, Mask nodes) const;
   bool isMember(const State& state, unsigned node) const;
@@ -97,6 +101,8 @@
 
   bool mayRenew(const State& state, unsigned node) const;
   State renewed(const State& state, unsigned node, Mask backups, Mask members, Mask leaving) const;
+  void changeMembers(const State& state, unsigned node, Mask members, const Visit& visit) const;
+  unsigned tolerance(const State& state) const;
   bool isWhole(const State& state, Epoch epoch) const;
   void visitNext(State next, const Action& action, const char* broken, const Visit& visit) const;
   void dropUnreachable(State& state) const;
