Count silence from the election on, and replace a silent member after 1.6 s

Change: silence counts from the election; a heartbeat that may not be accepted is answered with an announcement; memberTimeout 1.6 s.

--- a/src/agreement/replica.cpp
+++ b/src/agreement/replica.cpp
@@ -119,11 +119,8 @@
   if (failed_ || resigned_) return;
   // Members announce themselves only while they know of no primary; observers always, so that it sends them
   // heartbeats.
-  const Millis joinsAt = startedAt_ + timing_.listenBeforeJoining;
-  const bool hasListened = diskIsEmpty_ && announcedAt_ < joinsAt && now >= joinsAt;
-  const bool due = hasListened || now - announcedAt_ >= kAnnounceEvery;
   const bool knowsPrimary = primary_ || boundByLease(now);
-  if (due && (diskIsEmpty_ || !isMember() || !knowsPrimary)) announce(now);
+  if (now - announcedAt_ >= kAnnounceEvery && (!isMember() || !knowsPrimary)) announce(now);
   if (!isMember()) {
     if (now - heartbeatAt_ > kObserverLeases * timing_.lease) leader_.clear();
     return;
@@ -133,13 +130,17 @@
 
 void Replica::announce(Millis now) {
   announcedAt_ = now;
-  Message announcement = makeMessage(Message::Kind::announce);
-  announcement.sentAt = now;
   std::set<NodeId> to = memberSet();
   to.insert(seeds_.begin(), seeds_.end());
   to.insert(knownMembers_.begin(), knownMembers_.end());
   to.erase(self_);
-  for (const NodeId& node : to) host_.send(node, announcement);
+  for (const NodeId& node : to) sendAnnouncement(now, node);
+}
+
+void Replica::sendAnnouncement(Millis now, const NodeId& to) const {
+  Message announcement = makeMessage(Message::Kind::announce);
+  announcement.sentAt = now;
+  host_.send(to, announcement);
 }
 
 void Replica::onHeartbeat(Millis now, const Message& message) {
@@ -155,7 +156,7 @@
   heartbeatAt_ = now;
   ballot_.reset();
   noElectionBefore_ = 0;
-  if (!mayAccept(now, message)) return;
+  if (!mayAccept(now, message)) return sendAnnouncement(now, message.from);
   if (message.epoch != durable_.record.epoch) {
     durable_.promised = message.epoch;
     durable_.promisedTo = message.from;
--- a/src/agreement/replica.hpp
+++ b/src/agreement/replica.hpp
@@ -56,9 +56,9 @@
     Millis backupTimeout = 800;    // of silence, until another member becomes the backup
     // A member with an empty disk accepts no record and gives no vote before.
     Millis listenBeforeJoining = 2000;
-    // Of silence, until an observer takes a member's place. With a take-over before it (1.8 s), less than the
-    // 4 s for which a machine that returns counts as lost.
-    Millis memberTimeout = 2000;
+    // Of silence, until an observer takes a member's place. With a take-over before it (2.2 s) and the two
+    // records of the change, less than the 4 s for which a machine that returns counts as lost.
+    Millis memberTimeout = 1600;
     Millis resendAfter = 400;  // the state to a backup that has not acknowledged it
     unsigned losses = 1;       // disks lost at once that the core tolerates
     // Between the elections by which a primary wins back members that promised another round.
@@ -128,6 +128,7 @@
   void sendHeartbeat(Millis now, const NodeId& to) const;
   bool mayAccept(Millis now, const Message& heartbeat) const;
   void announce(Millis now);
+  void sendAnnouncement(Millis now, const NodeId& to) const;
   void tickFollower(Millis now);
   void startPrevote(Millis now);
   void startElection(Millis now);
--- a/src/agreement/replica_membership.cpp
+++ b/src/agreement/replica_membership.cpp
@@ -36,7 +36,7 @@
 
 Millis Replica::heardAt(const NodeId& node) const {
   const auto peer = peers_.find(node);
-  return std::max(epochOpenedAt_, peer == peers_.end() ? -1e18 : peer->second.heardAt);
+  return std::max(electedAt_, peer == peers_.end() ? -1e18 : peer->second.heardAt);
 }
 
 // Another member takes a silent backup's place, as far as there is one.
