Show that a silent member must count as lost until the core is whole

Cause: whether fewer backups are sound once the silent members are back, with their old state, was only reasoned.

Measured: the mutant breaks after 2 steps with five members (primary and only backup of an unsettled record lost). The rule as it is: five members, a renewal and a lost disk, 1,510,462 states, all visited, nothing broken. tests/model/check.sh: eight searches all visited (3,461,717 states), 15 mutants found, 94 s of processor time, 111 s of wall clock under load.

--- a/tests/model/check.sh
+++ b/tests/model/check.sh
@@ -64,6 +64,7 @@
   search three-and-a-spare-long bounded $three spares=1 rounds=2 places=3 changes=2 wipes=1
   search three-grow-to-five-long bounded members=3 losses=2 spares=2 rounds=2 places=3 renewals=1 changes=1 wipes=1
   search five-members-long bounded $five rounds=3 places=0 changes=1 wipes=1
+  search five-with-a-renewal-long bounded $five rounds=2 places=1 renewals=1 changes=1 wipes=1
   search five-with-renewals-long bounded $five rounds=3 places=1 renewals=1 changes=1
   search five-and-a-spare-long bounded $five spares=1 rounds=2 places=3 renewals=1 replacements=1 changes=1 wipes=1
 fi
@@ -84,4 +85,5 @@
 search base-is-own-data breaks $five rounds=3 places=0 changes=1 mutant=base-is-own-data
 search no-doubt-kept breaks $five rounds=3 places=0 changes=1 mutant=no-doubt-kept
 search renewal-not-weighed breaks $five rounds=2 places=1 changes=1 mutant=renewal-not-weighed
+search silent-not-lost breaks $five rounds=2 places=1 renewals=1 changes=1 mutant=silent-not-lost
 exit $failed
--- a/tests/model/core_search.cpp
+++ b/tests/model/core_search.cpp
@@ -47,6 +47,7 @@
     {"stale-heartbeat", Mutant::staleHeartbeat},
     {"observer-refuses", Mutant::observerRefuses},
     {"no-doubt-kept", Mutant::noDoubtKept},
+    {"silent-not-lost", Mutant::silentNotLost},
 };
 
 // The states seen, by their 64-bit hash, each with the hash of the one that it was first reached from.
--- a/tests/model/model_rules.cpp
+++ b/tests/model/model_rules.cpp
@@ -416,7 +416,8 @@
       if (count(silent) == std::max(silentNeeded, count(dropped)) && (silent & dropped) == dropped) {
         State next = renewed(state, node, backups, record.members, record.leaving);
         ++next.renewals;
-        if (silentNeeded) next.lost = static_cast<Mask>(next.lost | silent);
+        if (silentNeeded && mutant_ != Mutant::silentNotLost)
+          next.lost = static_cast<Mask>(next.lost | silent);
         visitNext(next, {Action::Kind::renew, node, next.nodes[node].record, backups}, nullptr, visit);
         if (!silentNeeded) break;
       }
--- a/tests/model/model_rules.hpp
+++ b/tests/model/model_rules.hpp
@@ -41,6 +41,7 @@
   staleHeartbeat,       // an empty disk takes the record of a primary whose lease has run out
   observerRefuses,      // who is a member by the candidate's record only does not vote
   noDoubtKept,          // what may have been unused counts as used
+  silentNotLost,  // with fewer backups for silent members, as many further losses as ever are to be borne
 };
 
 struct Action {
