Refuse a request whose key was taken away while it came in

A request's head is checked as it comes and, where it has a body, again once it is whole. With a chunked body that is empty it was not: a key that a version in between had taken away counted as "this route needs none", and the request went to a server without a tenant's name and without a token.

take() now answers 401 where the route needs a key and none is known. A second test holds a primary that has lost the other two members: from 1.1 s on, reads and orders get 503 alone.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -460,6 +460,9 @@
                  route,
                  tenant ? tenant->name : "",
                  0};
+  // A version that came since the head was read may have taken the key away.
+  if (!tenant && request.table->needsKey(*route))
+    return request.asker->answer(text(http::status::unauthorized, "unknown key"));
   if (!tenant) return admit(std::move(request));
   const auto verdict = admission_.ask(at, tenant->name, chance());
   if (verdict.admitted) {
--- a/tests/system/core_test.cpp
+++ b/tests/system/core_test.cpp
@@ -288,5 +288,64 @@
   EXPECT_EQ(replace(configuration(6, "new"), 4), 200u) << "and it goes on without the lost one";
 }
 
+// The head comes while the key counts, the end of the body after a version that takes it away.
+TEST_F(Core, AKeyTakenAwayInTheMidstOfARequestIsRefused) {
+  ASSERT_EQ(replace(configuration(2, "old"), 0), 200u);
+  until([&] { return gateway->ready(); }, "the gateway follows");
+  until([&] { return has(ask("/a/x", "old"), "HTTP/1.1 200"); }, "served");
+  tcp::socket socket(io);
+  socket.connect(*settings(0, true).frontend);
+  asio::write(socket,
+              asio::buffer(std::string("POST /a/late HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: 2\r\n"
+                                       "X-Api-Key: old\r\nTransfer-Encoding: chunked\r\n\r\n")));
+  const auto pause = std::chrono::steady_clock::now() + 100ms;
+  until([&] { return std::chrono::steady_clock::now() > pause; }, "the head is read");
+  ASSERT_EQ(replace(configuration(4, "new"), 2), 200u);
+  until([&] { return has(ask("/a/x", "old"), "HTTP/1.1 401"); }, "refused");
+  const unsigned before = arrivals;
+  asio::write(socket, asio::buffer(std::string("0\r\n\r\n")));
+  std::array<char, 4096> piece;
+  std::string got;
+  socket.async_read_some(asio::buffer(piece), [&](const boost::system::error_code&, std::size_t n) {
+    got.assign(piece.data(), n);
+  });
+  until([&] { return !got.empty(); }, "an answer");
+  EXPECT_TRUE(has(got, "HTTP/1.1 401")) << got;
+  EXPECT_EQ(arrivals, before) << "it reached a server, and named no tenant there";
+}
+
+// A primary that hears no other member: it confirms nothing from the first moment on, and within its lease of
+// a second it stops telling and refusing as well.
+TEST_F(Core, APrimaryWithoutTheOthersSoonAnswersNoOperator) {
+  ASSERT_EQ(replace(configuration(2, "k"), 0), 200u);
+  const auto statusAt = [&](std::size_t i, const std::string& call) {
+    const std::string got = exchange(*settings(i, true).controlPlane, call + "Connection: close\r\n\r\n");
+    return got.size() > 12 ? std::stoi(got.substr(9, 3)) : 0;
+  };
+  const std::string describe = "GET /api/Configuration.Describe HTTP/1.1\r\nHost: a\r\n";
+  std::size_t primary = 0;
+  for (std::size_t i = 0; i < nodes.size(); ++i)
+    if (statusAt(i, describe) == 200) primary = i;
+  for (std::size_t i = 0; i < nodes.size(); ++i)
+    if (i != primary) nodes[i].reset();
+  const auto lost = std::chrono::steady_clock::now();
+  std::vector<int> late;
+  const std::string body = pack(configuration(4, "k"));
+  while (std::chrono::steady_clock::now() < lost + 4s) {
+    const std::string order = exchange(
+        *settings(primary, true).controlPlane,
+        "POST /api/Configuration.Replace HTTP/1.1\r\nHost: a\r\nX-Base-Revision: 9\r\nConnection: close\r\n"
+        "Content-Length: " +
+            std::to_string(body.size()) + "\r\n\r\n" + body);
+    const auto asked = std::chrono::steady_clock::now();
+    const int told = statusAt(primary, describe);
+    if (asked < lost + 1100ms) continue;
+    late.push_back(told);
+    late.push_back(order.size() > 12 ? std::stoi(order.substr(9, 3)) : 0);
+  }
+  ASSERT_GT(late.size(), 2u);
+  for (const int told : late) EXPECT_EQ(told, 503);
+}
+
 }  // namespace
 }  // namespace lilacmux::test
