Hold what gatekeepers go by against drawn troubles

What a gatekeeper knows (place in the log, servers, lease) moves out of the socket code into FollowerState, so that a simulation can play it with the real Primary, ChangeLog and Relay: machines with clocks up to 1 % off, kills, a primary that comes straight back, cuts of 20 s, freezes, lost and late answers, a platform whose list lags by a drawn time and is read page by page.

As strict as before.

--- a/src/fleet/change_log.cpp
+++ b/src/fleet/change_log.cpp
@@ -1,5 +1,7 @@
 #include "fleet/change_log.hpp"
 
+#include <algorithm>
+
 namespace lilacmux {
 
 void to_json(nlohmann::json& out, const Instance& i) {
@@ -18,28 +20,43 @@
 }
 
 void ChangeLog::servers(const std::vector<Instance>& list) {
-  Change change;
+  // The list is read over several pages, between which it may change: an id may come twice.
   std::map<std::string, Instance> now;
-  for (const Instance& instance : list) {
-    const auto old = servers_.find(instance.id);
-    if (old == servers_.end() || !(old->second == instance)) change.set.push_back(instance);
+  for (Instance instance : list) {
+    if (const auto old = servers_.find(instance.id); old != servers_.end()) instance.inherit(old->second);
+    if (const auto twice = now.find(instance.id); twice != now.end()) instance.inherit(twice->second);
     now[instance.id] = instance;
   }
+  Change change;
+  for (const auto& [id, instance] : now) {
+    const auto old = servers_.find(id);
+    if (old == servers_.end() || !(old->second == instance)) change.set.push_back(instance);
+  }
   for (const auto& [id, instance] : servers_)
     if (!now.contains(id)) change.gone.push_back(id);
   servers_ = std::move(now);
   listed_ = true;
-  if (change.set.empty() && change.gone.empty()) return;
+  if (change.entries() == 0) return;
   change.place = place_ + 1;
   add(std::move(change));
 }
 
 void ChangeLog::add(Change&& change) {
   place_ = change.place;
+  entries_ += change.entries();
   changes_.push_back(std::move(change));
-  if (changes_.size() <= kKept) return;
-  oldest_ = changes_.front().place;
-  changes_.pop_front();
+  const std::size_t mostEntries = std::max(kLeastEntries, servers_.size());
+  while (changes_.size() > kKept || (entries_ > mostEntries && changes_.size() > 1)) {
+    oldest_ = changes_.front().place;
+    entries_ -= changes_.front().entries();
+    changes_.pop_front();
+  }
+}
+
+void ChangeLog::clear(std::uint64_t place) {
+  place_ = oldest_ = place;
+  changes_.clear();
+  entries_ = 0;
 }
 
 void ChangeLog::follow(std::uint64_t epoch, const News& news) {
@@ -48,21 +65,20 @@
   if (epoch > epoch_) {
     epoch_ = epoch;
     listed_ = false;
-    place_ = oldest_ = 1;
-    changes_.clear();
+    clear(1);
   }
   if (!news.servers || (listed_ && news.place <= place_)) return;
+  Change change{news.set, news.gone, news.place};
+  for (Instance& instance : change.set)
+    if (const auto old = servers_.find(instance.id); old != servers_.end()) instance.inherit(old->second);
   if (news.snapshot) {
     servers_.clear();
-    changes_.clear();
-    for (const Instance& instance : news.set) servers_[instance.id] = instance;
-    place_ = oldest_ = news.place;
+    clear(news.place);
     listed_ = true;
-    return;
   }
-  for (const Instance& instance : news.set) servers_[instance.id] = instance;
-  for (const std::string& id : news.gone) servers_.erase(id);
-  add({news.set, news.gone, news.place});
+  for (const Instance& instance : change.set) servers_[instance.id] = instance;
+  for (const std::string& id : change.gone) servers_.erase(id);
+  if (!news.snapshot) add(std::move(change));
 }
 
 void ChangeLog::configuration(std::uint64_t revision, std::shared_ptr<const std::string> body) {
@@ -75,8 +91,8 @@
   out.place = place();
   out.revision = revision_;
   if (revision < revision_) out.configuration = body_;
-  if (!listed_) {
-    out.place = 0;
+  if (!listed_) {  // a follower that was told of this epoch's list elsewhere keeps what it has
+    out.place = epoch == epoch_ ? from : 0;
     return out;
   }
   if (epoch == epoch_ && from > place_) {  // a follower that was told more elsewhere keeps what it has
--- a/src/fleet/relay.cpp
+++ b/src/fleet/relay.cpp
@@ -124,7 +124,8 @@
     relaysAre_ = answer.relaysAre;
   }
   const Millis until = sentAt + ShareTiming{}.lease;
-  if (answer.news.revision >= log_.revision()) heardAt_ = sentAt;
+  // An answer that tells of a newer configuration and does not bring it renews nothing.
+  if (answer.news.revision == log_.revision()) heardAt_ = sentAt;
   quotas_.heard(now, sentAt, until);
   retries_.heard(now, sentAt, until);
   for (const ShareGrant& grant : answer.grants) quotas_.take(now, grant, answer.grant);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -137,6 +137,7 @@
       pool_(io, poolLimits(settings, inwards_), budget_, figures_, answers_, *this,
             [this](AttemptEnd&& end) { ended(std::move(end)); }),
       server_(io, *settings.frontend, clientLimits(settings, {}, outwards_), budget_, figures_, *this),
+      followed_(settings.bounds.revocationMs - kRevocationKept),
       random_(std::hash<std::string>{}(settings.name)),
       drain_(io),
       sweep_(io) {
@@ -182,10 +183,10 @@
 }
 
 bool Gateway::mayServe() const {
-  return table_ && (!settings_.bounds.revocationGlobal || now() < leaseUntil_);
+  return table_ && (!settings_.bounds.revocationGlobal || followed_.holdsLease(now()));
 }
 
-bool Gateway::ready() const { return !draining_ && listed_ && mayServe(); }
+bool Gateway::ready() const { return !draining_ && followed_.listed() && mayServe(); }
 
 // For `lilacmux status`: what this gatekeeper goes by. No key.
 std::string Gateway::status() const {
@@ -193,7 +194,7 @@
     std::size_t listed = 0, draining = 0, avoided = 0;
   };
   std::map<std::string, Count> counts;
-  for (const auto& [id, instance] : instances_) {
+  for (const auto& [id, instance] : followed_.instances()) {
     ++counts[instance.service].listed;
     counts[instance.service].draining += instance.draining;
   }
@@ -202,17 +203,18 @@
   nlohmann::json services = nlohmann::json::object();
   for (const auto& [name, count] : counts)
     services[name] = {{"listed", count.listed}, {"draining", count.draining}, {"avoided", count.avoided}};
-  const nlohmann::json out = {{"role", "gateway"},
-                              {"node", settings_.name},
-                              {"zone", settings_.zone},
-                              {"ready", ready()},
-                              {"draining", draining_},
-                              {"revision", table_ ? table_->revision() : 0},
-                              {"lease_ms", std::max(0.0, leaseUntil_ - now())},
-                              {"log", {{"epoch", epochText(epoch_)}, {"place", place_}}},
-                              {"gatekeepers", fleet_},
-                              {"held", held_.size() + parked_.size()},
-                              {"services", services}};
+  const nlohmann::json out = {
+      {"role", "gateway"},
+      {"node", settings_.name},
+      {"zone", settings_.zone},
+      {"ready", ready()},
+      {"draining", draining_},
+      {"revision", table_ ? table_->revision() : 0},
+      {"lease_ms", followed_.leaseLeft(now())},
+      {"log", {{"epoch", epochText(followed_.epoch())}, {"place", followed_.logPlace()}}},
+      {"gatekeepers", fleet_},
+      {"held", held_.size() + parked_.size()},
+      {"services", services}};
   return out.dump() + "\n";
 }
 
@@ -273,7 +275,7 @@
     out.gauge("lilacmux_link_queue_ms", "What stands in the machine's link, ms", gate->queue(),
               {{"direction", way}});
   out.gauge("lilacmux_lease_ms", "How long this one may still serve without a further word",
-            std::max(0.0, leaseUntil_ - now()));
+            followed_.leaseLeft(now()));
   out.gauge("lilacmux_revision", "The configuration in force",
             table_ ? static_cast<double>(table_->revision()) : 0);
   out.gauge("lilacmux_ready", "Whether new clients are wanted", ready());
@@ -293,8 +295,7 @@
   FollowCall out;
   out.name = settings_.name;
   out.zone = settings_.zone;
-  out.epoch = epoch_;
-  out.place = place_;
+  followed_.place(out);
   out.revision = table_ ? table_->revision() : 0;
   out.relays = relaysAre_;
   return out;
@@ -321,17 +322,12 @@
 
 // What an older primary told renews nothing, and goes back on nothing.
 void Gateway::news(const FollowAnswer& answer, double sentAt) {
-  const double asOf = sentAt - answer.ageMs;
-  if (answer.epoch >= epoch_) {
+  if (followed_.accepts(answer)) {
     fleet_ = answer.gatekeepers;
     if (answer.news.configuration) configure(*answer.news.configuration);
-    if (answer.news.servers) servers(answer.news);
-    epoch_ = answer.epoch;
-    place_ = answer.news.place;
-    if (table_ && table_->revision() <= answer.news.revision)
-      leaseUntil_ = std::max(leaseUntil_, asOf + settings_.bounds.revocationMs - kRevocationKept);
+    servers(followed_.take(answer, sentAt, table_ ? table_->revision() : 0));
   }
-  const double lentUntil = asOf + ShareTiming{}.lease;
+  const double lentUntil = sentAt - answer.ageMs + ShareTiming{}.lease;
   admission_.heard(now(), sentAt, lentUntil);
   retries_.heard(now(), sentAt, lentUntil);
   for (const ShareGrant& grant : answer.grants) admission_.take(now(), grant, answer.grant);
@@ -359,20 +355,14 @@
   log_("configuration " + std::to_string(table_->revision()) + " is in force");
 }
 
-void Gateway::servers(const ChangeLog::News& news) {
-  std::map<std::string, bool> touched;  // services
-  if (news.snapshot) {
-    std::map<std::string, Instance> before;
-    before.swap(instances_);
-    for (const Instance& instance : news.set) instances_[instance.id] = instance;
-    for (const auto& [id, instance] : before) {
-      touched[instance.service] = true;
-      if (!instances_.contains(id)) pool_.retire(numberOf(id));
-    }
+void Gateway::servers(const FollowerState::Update& update) {
+  std::set<std::string> touched;  // services
+  for (const Instance& instance : update.gone) {
+    touched.insert(instance.service);
+    pool_.retire(numberOf(instance.id));
   }
-  for (const Instance& instance : news.set) {
-    instances_[instance.id] = instance;
-    touched[instance.service] = true;
+  for (const Instance& instance : update.set) {
+    touched.insert(instance.service);
     names_[numberOf(instance.id)] = instance.id;
     if (instance.draining) {
       pool_.retire(numberOf(instance.id));
@@ -384,22 +374,14 @@
       log_("a server's address cannot be read: " + instance.address);
     }
   }
-  for (const std::string& id : news.gone) {
-    const auto found = instances_.find(id);
-    if (found == instances_.end()) continue;
-    touched[found->second.service] = true;
-    instances_.erase(found);
-    pool_.retire(numberOf(id));
-  }
-  for (const auto& [service, yes] : touched) tellLane(service);
-  listed_ = true;
+  for (const std::string& service : touched) tellLane(service);
 }
 
 void Gateway::tellLane(const std::string& service) {
   const auto lane = lanes_.find(service);
   if (lane == lanes_.end()) return;
   std::vector<Instance> list;
-  for (const auto& [id, instance] : instances_)
+  for (const auto& [id, instance] : followed_.instances())
     if (instance.service == service) list.push_back(instance);
   lane->second->servers(now(), list);
 }
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -13,6 +13,7 @@
 #include <unordered_map>
 
 #include "fleet/follower.hpp"
+#include "fleet/follower_state.hpp"
 #include "gateway/lane.hpp"
 #include "gateway/routes.hpp"
 #include "gateway/server_answers.hpp"
@@ -104,7 +105,7 @@
   FollowCall leaves();
   void news(const FollowAnswer& answer, double sentAt);
   void configure(const std::string& body);
-  void servers(const ChangeLog::News& news);
+  void servers(const FollowerState::Update& update);
   std::shared_ptr<Lane> laneOf(const std::string& service, unsigned kind);
   void tellLane(const std::string& service);
 
@@ -143,7 +144,7 @@
   std::shared_ptr<const RouteTable> table_;
   Kinds kinds_;
   std::map<std::string, std::shared_ptr<Lane>> lanes_;  // by service
-  std::map<std::string, Instance> instances_;           // by id
+  FollowerState followed_;                              // the servers, and the lease
   std::unordered_map<irisring::WorkerId, std::string> names_;
   std::unordered_map<RequestId, std::shared_ptr<Lane>> out_;  // attempts under way
   HeldMap held_;
@@ -156,11 +157,8 @@
     std::uint64_t atOnce = 0, waited = 0, over = 0, late = 0, outOfTouch = 0, noServer = 0;
   } counts_;
   RequestId lastId_ = 0;
-  std::uint64_t epoch_ = 0, place_ = 0;
   std::size_t fleet_ = 0;  // gatekeepers, as last told
   std::uint64_t relaysAre_ = 0;
-  bool listed_ = false;  // has had a list of servers
-  Time leaseUntil_ = -1;
   std::uint64_t random_;
   std::unique_ptr<Follower> follower_;
   boost::asio::steady_timer drain_, sweep_;
