Await a long answer for as long as it comes in

A follower's call was given up after 700 ms whatever had come of its answer, and the next one began anew. A configuration of 5,000 routes (0.93 MB) takes 1.5 s of a gatekeeper's whole link of 5 Mbit/s: it could never have caught up. A call is now given up once nothing has come for its time, and after ten times that at most.

--- a/src/net/frames.cpp
+++ b/src/net/frames.cpp
@@ -192,13 +192,27 @@
   frame.head[kCallField] = number;
   Call& call = calls_[number];
   call.done = std::move(done);
-  call.timer = std::make_unique<asio::steady_timer>(io_, within);
-  call.timer->async_wait([this, number, alive = alive_](const Error& error) {
-    if (!error && *alive && calls_.contains(number)) down();
-  });
+  call.timer = std::make_unique<asio::steady_timer>(io_);
+  await(number, within);
   send(std::move(frame));
 }
 
+void FrameClient::await(std::uint64_t number, std::chrono::milliseconds within) {
+  asio::steady_timer& timer = *calls_.at(number).timer;
+  timer.expires_after(within);
+  timer.async_wait([this, number, within, alive = alive_](const Error& error) {
+    if (error || !*alive) return;
+    const auto found = calls_.find(number);
+    if (found == calls_.end()) return;
+    Call& late = found->second;
+    const std::size_t partial = link_ ? link_->partial() : 0;
+    const bool comes = partial > 0 && partial != late.partial;
+    if (!comes || ++late.waits >= kMostWaits) return down();
+    late.partial = partial;
+    await(number, within);
+  });
+}
+
 void FrameClient::send(Frame&& frame) {
   if (link_) return link_->send(frame);
   if (early_.size() < kMostEarly) early_.push_back(std::move(frame));
--- a/src/net/frames.hpp
+++ b/src/net/frames.hpp
@@ -49,6 +49,8 @@
   void send(const Frame& frame);
   void close();  // without a word
   bool open() const { return !closed_; }
+  // Bytes of a frame that has come in part so far; 0: none is on its way.
+  std::size_t partial() const { return in_.size(); }
 
  private:
   void read();
@@ -102,14 +104,20 @@
   FrameClient& operator=(const FrameClient&) = delete;
 
   const boost::asio::ip::tcp::endpoint& peer() const { return peer_; }
+  // Given up once nothing has come for `within`. While a long frame comes in piece by piece, over a narrow
+  // link say, the call goes on, for `kMostWaits` times as long at most.
   void call(Frame frame, std::chrono::milliseconds within, Done done);
+  static constexpr unsigned kMostWaits = 10;
 
  private:
   void send(Frame&& frame);
   struct Call {
     std::unique_ptr<boost::asio::steady_timer> timer;
     Done done;
+    std::size_t partial = 0;  // of the frame that was coming in when it was looked at last
+    unsigned waits = 0;
   };
+  void await(std::uint64_t number, std::chrono::milliseconds within);
   void ensure();
   void up(boost::asio::ip::tcp::socket socket);
   void down();
