--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -1,5 +1,6 @@
 #include "control/node.hpp"
 
+#include <unistd.h>
 #include <xxhash.h>
 
 #include <boost/asio/post.hpp>
@@ -49,10 +50,13 @@
   return settings;
 }
 
-// Two starts of a process within the same microsecond would be one life; no bound rests on more than that.
-std::uint64_t lifeOf(const std::string& name) {
-  const auto at = std::chrono::system_clock::now().time_since_epoch().count();
-  return XXH3_64bits_withSeed(name.data(), name.size(), static_cast<std::uint64_t>(at)) & 0x3fffffff;
+// Names one start of the process. Only told apart, never put in order; not by the time of day, which may step
+// back to where it was.
+std::uint64_t newLife() {
+  std::uint32_t drawn = 0;
+  if (getentropy(&drawn, sizeof drawn) != 0)
+    drawn = static_cast<std::uint32_t>(std::chrono::steady_clock::now().time_since_epoch().count());
+  return drawn & 0x3fffffff;
 }
 
 Replica::Timing timingOf(const NodeSettings& settings) {
@@ -74,7 +78,7 @@
       settings_(checked(settings)),
       log_(std::move(log)),
       self_(settings.address + ":" + std::to_string(controlPort(settings))),
-      relay_(settings.name, {self_, settings.zone}, lifeOf(settings.name), now()),
+      relay_(settings.name, {self_, settings.zone}, newLife(), now()),
       tick_(io),
       leave_(io) {
   if (settings_.dataDirectory) begin(settings_.bootstrap);
