Tell no client that a request has not run where a server may have run it

Cause: eight faults found by reading the paths of an answer. A server's own 503, 429 or 408 without X-Not-Executed went on to clients of non-repeatable requests, to whom it is a promise; a failed write was taken for proof that nothing ran although the server's 500 was there to be read; an empty attempt id matched every answer; what comes with an empty chunked body (trailers, a configuration in between) was not checked again; statuses without a name became 000; trailers were added to the head; and a connection that came up after the time had run out was still written to.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -120,6 +120,13 @@
   return out;
 }
 
+// From a gatekeeper these say that the request has not run and never will. A server that has not run one says
+// so by X-Not-Executed, so where it answers with one of these alone nobody knows.
+bool isPromise(http::status status) {
+  return status == http::status::request_timeout || status == http::status::misdirected_request ||
+         status == http::status::too_many_requests || status == http::status::service_unavailable;
+}
+
 bool ranOf(Result result) {
   return result != Result::full && result != Result::connectFailed && result != Result::moot;
 }
@@ -420,6 +427,7 @@
   constexpr auto bad = http::status::bad_request;
   if (!burlwind::plainFraming(head)) return Rejection{bad, "the body's length is not told plainly"};
   if (!onceEach(head)) return Rejection{bad, "a header is repeated"};
+  if (head["X-Attempt-Id"].empty()) return Rejection{bad, "no X-Attempt-Id"};
   if (head.method() == http::verb::connect || head.method() == http::verb::head)
     return Rejection{http::status::not_implemented, "no such method here"};
   const std::string_view path = pathOf(head);
@@ -618,7 +626,7 @@
     if (held.streams) {
       outcome.finished = true;
       endStream(id, outcome.result == Result::ok);
-    } else if (end.head) {
+    } else if (end.head && mayGoOn(held, end.head->status)) {
       Answer served;
       served.status = end.head->status;
       served.fields = std::move(end.head->fields);
@@ -627,6 +635,8 @@
         answer(id, std::move(served));
       else
         held.lastAnswer = std::move(served);
+    } else if (outcome.result == Result::ok) {
+      giveUp(id, kRetryAfter);
     }
     if (!outcome.finished && held_.contains(id) && held.sent >= held.route->maxAttempts) {
       outcome.finished = true;
@@ -637,6 +647,11 @@
   lane->module().outcome(now(), outcome);
 }
 
+// Whether a server's answer, to a request that it may have run, can be told to the client as it is.
+bool Gateway::mayGoOn(const Held& held, http::status status) {
+  return held.route->type != RouteType::nonIdempotent || !isPromise(status);
+}
+
 // Whether a further try may go out, as far as the budget is concerned. One that follows tries of which none
 // has arrived is the first, and so is none at all where the module must not repeat.
 bool Gateway::pays(Held& held) {
@@ -675,6 +690,8 @@
 }
 
 bool Gateway::begun(RequestId id, const burlwind::AnswerHead& head) {
+  const auto found = held_.find(id);
+  if (found != held_.end() && !mayGoOn(found->second, head.status)) return false;
   return burlwind::beginStream(held_, id, head);
 }
 
@@ -734,7 +751,8 @@
   if (held.further == Held::Further::paid) held.further = Held::Further::out;
   const bool early = timeout > 0 && timeout < left;
   if (!held.body) prepare(held);
-  burlwind::Message message{held.head, held.body, static_cast<unsigned>(held.route->type), held.attempt};
+  burlwind::Message message{held.head, held.body, static_cast<unsigned>(held.route->type), held.attempt,
+                            std::chrono::steady_clock::now() + span(left)};
   message.head += "X-Expected-Instance: " + names_[server] + "\r\nX-Deadline-Remaining-Ms: " +
                   std::to_string(std::max(1L, std::lround(std::floor(left)))) + "\r\n\r\n";
   pool_.start(id, attempt, server, std::move(message), early ? std::optional(span(timeout)) : std::nullopt);
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -116,6 +116,7 @@
 
   void start(RequestId id, unsigned attempt, irisring::WorkerId server, Time timeout);
   void ended(burlwind::AttemptEnd&& end);
+  static bool mayGoOn(const Held& held, burlwind::http::status status);
   bool pays(Held& held);
   void settle(Held& held, bool arrived);
   void awaitBudget(irisring::Outcome outcome, std::shared_ptr<Lane> lane, unsigned looks);
--- a/src/gateway/server_answers.cpp
+++ b/src/gateway/server_answers.cpp
@@ -21,8 +21,7 @@
 
 burlwind::AnswerReader::Belongs ServerAnswers::belongs(const http::response_header<>& head,
                                                        const std::string& id) const {
-  if (id.empty()) return Belongs::ours;
-  if (burlwind::countOf(head, "X-Attempt-Id") != 1) return Belongs::nobodys;
+  if (id.empty() || burlwind::countOf(head, "X-Attempt-Id") != 1) return Belongs::nobodys;
   return burlwind::view(head["X-Attempt-Id"]) == id ? Belongs::ours : Belongs::anothers;
 }
 
--- a/src/node/client_server.cpp
+++ b/src/node/client_server.cpp
@@ -354,8 +354,10 @@
 
   void handle(ClientMessage&& message) {
     if (!call_) return sayReady(message.method());
-    // With the body, trailers may have brought more headers, and the same id may have come elsewhere.
-    if (!message.body().empty() && !call(message)) return;
+    // With the body, trailers may have brought more headers, and the same id may have come elsewhere. One in
+    // chunks may be empty and still have come later than the head.
+    const bool atOnce = message.body().empty() && !message.chunked();
+    if (!atOnce && !call(message)) return;
     timer_.cancel();
     stand(busy);
     const auto at = arrivals_.of(received_ - in_.size(), readAt_);
--- a/src/node/worker_pool.cpp
+++ b/src/node/worker_pool.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/write.hpp>
 #include <cmath>
 #include <limits>
+#include <utility>
 
 namespace burlwind {
 namespace {
@@ -75,7 +76,7 @@
 
   // The end of the attempt that is out, as seen from here, if it is given up now.
   Outcome stop(Result result) {
-    const bool sent = written_ || result == Result::cancelled || result == Result::moot;
+    const bool sent = written_ || answering_ || result == Result::cancelled || result == Result::moot;
     busy_ = false;
     outcome_.result = sent ? result : Result::connectFailed;
     stamp();
@@ -151,6 +152,7 @@
   // Ready for an answer.
   void await() {
     answering_ = passing_ = false;
+    head_.reset();
     called_ = 0;
     parser_.emplace();
     // What is held is bounded as it comes; without a limit Beast 1.74 takes no told length at all.
@@ -173,6 +175,8 @@
                             socket_.set_option(tcp::no_delay(true), ignored);
                             socket_.non_blocking(true, ignored);
                             up_ = true;
+                            if (Clock::now() >= out_.notAfter) return end(Result::moot);
+                            if (Clock::now() >= giveUpAt_) return end(Result::connectFailed);
                             read();
                             write();
                           }));
@@ -181,7 +185,8 @@
   void notUp(const Error& error) { end(isLocal(error) ? Result::moot : Result::connectFailed); }
 
   // From here on the request may have run, unless the system tells that its last byte was not written: the
-  // system takes it in within this call, however much later the handler runs.
+  // system takes it in within this call, however much later the handler runs. A worker may answer what it has
+  // not read whole, and that it has run: so what has come is read before anything is said.
   void write() {
     arm(giveUpAt_);
     written_ = writing_ = true;
@@ -193,7 +198,8 @@
                         if (!error) pool_.figures_.tried(out_.klass);
                         if (!error || !busy_) return;
                         written_ = false;
-                        end(Result::connectFailed);
+                        Error ignored;  // the pending read tells the rest, and that ends soon
+                        socket_.shutdown(tcp::socket::shutdown_both, ignored);
                       }));
   }
 
@@ -278,6 +284,7 @@
       if (head && parser_->get().result_int() < 200) return passOver();
       if (head && !isOurs()) return end(Result::spoilt);
       if (head) verdict_ = pool_.reader_.read(parser_->get(), outcome_);
+      if (head && pool_.reader_.goesOn(verdict_)) head_ = headOf();
     }
     count(n);
     const bool done = feed(*parser_, in_, error);
@@ -304,13 +311,14 @@
   void stream() {
     streams_ = true;
     giveUpAt_ = Clock::time_point::max();
-    if (!pool_.sink_.begun(outcome_.id, headOf())) return end(Result::cancelled);
+    if (!pool_.sink_.begun(outcome_.id, *head_)) return end(Result::cancelled);
     passOn();
   }
 
+  // Taken before trailers can add to it.
   AnswerHead headOf() const {
     AnswerHead out;
-    out.status = parser_->get().result();
+    out.status = static_cast<http::status>(parser_->get().result_int());  // also one that has no name
     out.fields = pool_.reader_.fieldsOf(parser_->get());
     if (const auto told = parser_->content_length()) out.length = *told;
     return out;
@@ -370,9 +378,9 @@
     if (streams_)  // what is timed is its begin; how long the rest took was the client's part too
       outcome_.elapsed = std::chrono::duration<double, std::milli>(firstByteAt_ - startedAt_).count();
     whole.outcome = outcome_;
-    if (pool_.reader_.goesOn(verdict_)) whole.head = headOf();
+    whole.head = std::exchange(head_, std::nullopt);
     // Kept only if the exchange was a whole and ordinary one: nothing of it is left on either side.
-    const bool good = !writing_ && !eof_ && !surplus_ && in_.size() == 0 && answer.keep_alive();
+    const bool good = written_ && !writing_ && !eof_ && !surplus_ && in_.size() == 0 && answer.keep_alive();
     whole.body.assign(static_cast<const char*>(answer.body().data().data()), answer.body().size());
     busy_ = false;
     const auto self = shared_from_this();
@@ -402,6 +410,7 @@
   Message out_;
   Outcome outcome_;
   Result verdict_ = Result::spoilt;  // on the answer whose head has come
+  std::optional<AnswerHead> head_;   // of one that goes on
   Clock::time_point startedAt_, giveUpAt_, firstByteAt_;
   std::uint64_t called_ = 0;  // bytes of a large answer that have come or are on their way
   unsigned interim_ = 0;
--- a/src/node/worker_pool.hpp
+++ b/src/node/worker_pool.hpp
@@ -60,6 +60,8 @@
   std::shared_ptr<const std::string> body;
   unsigned klass = 0;
   std::string id{};  // which the answer must carry back; empty: none
+  // No byte is written from then on: a connection that comes up later finds nobody waiting for an answer.
+  std::chrono::steady_clock::time_point notAfter = std::chrono::steady_clock::time_point::max();
 };
 
 class WorkerPool {
--- a/tests/system/answers_test.cpp
+++ b/tests/system/answers_test.cpp
@@ -1,4 +1,6 @@
 // An answer goes to the request whose id it carries, and to no other, however surplus ones come.
+#include <thread>
+
 #include "gateway/server_answers.hpp"
 #include "sides.hpp"
 
@@ -25,6 +27,14 @@
     return reply("200 OK", body, "X-Server-Seal: s\r\nX-Attempt-Id: " + id + "\r\n");
   }
 
+  // Nothing more of a request can be written, since the server reads no further.
+  void untilStuck() {
+    until([&] { return !worker.peers.empty(); }, "a connection");
+    worker.peers[0]->pause();
+    do io.restart();
+    while (io.poll() > 0);
+  }
+
   const lilacmux::ServerAnswers reader;
   std::optional<WorkerPool> byId;
 };
@@ -92,5 +102,49 @@
   EXPECT_EQ(ends[0].outcome.result, Result::spoilt);
 }
 
+// The server answers and ends while the request is still being written: its own failure says that it has run.
+TEST_F(Answers, AnAnswerAheadOfTheWholeRequestCountsAlsoWhereTheRestCannotBeWritten) {
+  const auto body = std::make_shared<const std::string>(32'000'000, 'b');
+  byId->start(1, 0, 1, {"POST / HTTP/1.1\r\nX-Attempt-Id: a\r\n\r\n", body, 0, "a"}, std::nullopt);
+  untilStuck();
+  worker.peers[0]->send(reply("500 Failed", "early", "X-Server-Seal: s\r\nX-Attempt-Id: a\r\n"));
+  worker.peers[0]->end();  // with bytes unread: a reset
+  untilEnds(1);
+  EXPECT_EQ(ends[0].outcome.result, Result::error);
+  EXPECT_EQ(ends[0].body, "early");
+  EXPECT_EQ(byId->connections(), 0u);
+}
+
+// The same, cut off: it has begun to answer, so it may have run.
+TEST_F(Answers, AnAnswerBegunAheadOfTheWholeRequestMayHaveRun) {
+  const auto body = std::make_shared<const std::string>(32'000'000, 'b');
+  byId->start(1, 0, 1, {"POST / HTTP/1.1\r\nX-Attempt-Id: a\r\n\r\n", body, 0, "a"}, std::nullopt);
+  untilStuck();
+  worker.peers[0]->send("HTTP/1.1 500 Fail");
+  worker.peers[0]->end();
+  untilEnds(1);
+  EXPECT_EQ(ends[0].outcome.result, Result::reset);
+}
+
+// Without a byte of an answer, and the last of its own never written: nobody can have run it.
+TEST_F(Answers, ARequestThatIsHalfWrittenWhenItsConnectionBreaksHasNotRun) {
+  const auto body = std::make_shared<const std::string>(32'000'000, 'b');
+  byId->start(1, 0, 1, {"POST / HTTP/1.1\r\nX-Attempt-Id: a\r\n\r\n", body, 0, "a"}, std::nullopt);
+  untilStuck();
+  worker.peers[0]->end();
+  untilEnds(1);
+  EXPECT_EQ(ends[0].outcome.result, Result::connectFailed);
+}
+
+// The process stood still while the connection came up: nobody waits for an answer any more.
+TEST_F(Answers, WhatHasRunOutOfTimeBeforeItsConnectionIsUpIsNotSent) {
+  byId->start(1, 0, 1, {"GET / HTTP/1.1\r\n\r\n", nullptr, 0, "a"}, std::chrono::milliseconds(2));
+  std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  untilEnds(1);
+  EXPECT_EQ(ends[0].outcome.result, Result::connectFailed);
+  until([&] { return worker.peers.size() == 1 && worker.peers[0]->ended; }, "the connection ends");
+  EXPECT_EQ(worker.peers[0]->got, "");
+}
+
 }  // namespace
 }  // namespace burlwind::test
