--- a/tests/system/answer_storm.cpp
+++ b/tests/system/answer_storm.cpp
@@ -94,7 +94,7 @@
       for (const std::string& earlier : connection->answers) connection->send(earlier);
       return;
     case Act::bytesBehind:
-      return connection->send(good + "HTTP/1.1 200 OK\r\nX-");
+      return connection->send(good + "HTTP/1.1 200 OK\r\nX-Begun: ");
     case Act::bytesBehindLate:
       connection->send(good);
       return later(soon, [connection] { connection->send("more than belongs to it"); });
