--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -751,8 +751,12 @@
   if (held.further == Held::Further::paid) held.further = Held::Further::out;
   const bool early = timeout > 0 && timeout < left;
   if (!held.body) prepare(held);
-  burlwind::Message message{held.head, held.body, static_cast<unsigned>(held.route->type), held.attempt,
-                            std::chrono::steady_clock::now() + span(left)};
+  burlwind::Message message{held.head,
+                            held.body,
+                            static_cast<unsigned>(held.route->type),
+                            held.attempt,
+                            std::chrono::steady_clock::now() + span(left),
+                            held.route->type != RouteType::nonIdempotent};
   message.head += "X-Expected-Instance: " + names_[server] + "\r\nX-Deadline-Remaining-Ms: " +
                   std::to_string(std::max(1L, std::lround(std::floor(left)))) + "\r\n\r\n";
   pool_.start(id, attempt, server, std::move(message), early ? std::optional(span(timeout)) : std::nullopt);
--- a/src/node/worker_pool.cpp
+++ b/src/node/worker_pool.cpp
@@ -268,8 +268,8 @@
 
   // The next bytes of the answer that has begun.
   void awaitMore() {
-    arm(streams_ ? Clock::now() + pool_.limits_.streamsOnWithin
-                 : std::min(giveUpAt_, Clock::now() + pool_.limits_.goesOnWithin));
+    if (streams_) return arm(Clock::now() + pool_.limits_.streamsOnWithin);
+    arm(out_.repeatable ? std::min(giveUpAt_, Clock::now() + pool_.limits_.goesOnWithin) : giveUpAt_);
   }
 
   // `n`: bytes that have just come.
--- a/src/node/worker_pool.hpp
+++ b/src/node/worker_pool.hpp
@@ -62,6 +62,7 @@
   std::string id{};  // which the answer must carry back; empty: none
   // No byte is written from then on: a connection that comes up later finds nobody waiting for an answer.
   std::chrono::steady_clock::time_point notAfter = std::chrono::steady_clock::time_point::max();
+  bool repeatable = true;  // else an answer that pauses is awaited: no other worker may be asked
 };
 
 class WorkerPool {
@@ -70,7 +71,8 @@
     std::chrono::milliseconds connectTimeout{250};
     std::chrono::milliseconds idleFor{24000};  // shorter than a worker keeps an idle connection
     // Without a further byte of an answer that has begun and is held here: what stops half way seldom goes
-    // on. Longer: a client waits in vain; shorter: one written in small pieces is given up.
+    // on. Longer: a client waits in vain; shorter: one written in small pieces is given up. Only where the
+    // request may be sent to another worker.
     std::chrono::milliseconds goesOnWithin{300};
     std::chrono::milliseconds streamsOnWithin{5000};  // the same where the client has its begin
     std::size_t total = 480;                          // connections to all workers
--- a/tests/system/tries_test.cpp
+++ b/tests/system/tries_test.cpp
@@ -146,5 +146,27 @@
   EXPECT_EQ(countIn(got, "X-Attempt-Id"), 1u) << got;
 }
 
+// A server's silence is no reason to end an answer sooner, where nobody else may be asked: nothing is gained
+// by it, and its server is at work.
+TEST_F(Tries, AnAnswerThatPausesIsAwaitedWhereTheRequestCannotBeRepeated) {
+  Connection server;
+  std::string rest;
+  open(2, [&](const Connection& connection, const Request& request) {
+    const std::string whole = answerText(200, sealedFields(request.id()), "mine, and whole");
+    connection->send(whole.substr(0, whole.size() - 5));
+    rest = whole.substr(whole.size() - 5);
+    server = connection;
+  });
+  const auto client = world->connect();
+  client->send(request("POST", "/once/x", named("a") + "Content-Length: 0\r\n"));
+  world->until([&] { return server != nullptr; }, "the answer's begin");
+  const auto resumes = std::chrono::steady_clock::now() + std::chrono::milliseconds(400);
+  world->until([&] { return std::chrono::steady_clock::now() > resumes; }, "a pause");
+  server->send(rest);
+  world->until([&] { return client->ended; }, "an answer");
+  EXPECT_EQ(statusOf(client->received), "HTTP/1.1 200") << client->received;
+  server.reset();
+}
+
 }  // namespace
 }  // namespace lilacmux::test
