--- a/tests/system/core_storms.cpp
+++ b/tests/system/core_storms.cpp
@@ -2,7 +2,8 @@
 //   core_storms SECONDS [FIRST SEED] [--threads N]     for so long
 //   core_storms count N [FIRST SEED] [--threads N]     so many
 //   core_storms seed SEED                              one again; if it fails, all that was stored and said
-// --all: goes on after a failure, and tells of each in a line. Exit code 1: one has failed.
+// --all: goes on after a failure, and tells of each in a line. --brief: stops at the first, and only tells of
+// it in a line. Exit code 1: one has failed.
 #include <algorithm>
 #include <atomic>
 #include <chrono>
@@ -27,7 +28,8 @@
   std::uint64_t first = 0, count = kNone;  // seeds
   Clock::time_point until = Clock::time_point::max();
   unsigned threads = 1;
-  bool all = false;  // not only up to the first that fails
+  bool all = false;    // not only up to the first that fails
+  bool brief = false;  // that first one is not shrunk
 };
 
 // Plays seeds in their order, shared out to threads; gives the lowest that fails, or kNone.
@@ -55,7 +57,8 @@
     }
   }
   void fails(std::uint64_t seed, const std::string& why) {
-    if (settings_.all) std::printf("seed %llu: %s\n", static_cast<unsigned long long>(seed), why.c_str());
+    if (settings_.all || settings_.brief)
+      std::printf("seed %llu: %s\n", static_cast<unsigned long long>(seed), why.c_str());
     ++failures_;
     std::uint64_t lowest = failed_;
     while (seed < lowest && !failed_.compare_exchange_weak(lowest, seed)) {
@@ -99,9 +102,8 @@
     settings.threads = std::max(1u, static_cast<unsigned>(numberOf(*(flag + 1))));
     words.erase(flag, flag + 2);
   }
-  const auto all = std::find(words.begin(), words.end(), "--all");
-  settings.all = all != words.end();
-  if (settings.all) words.erase(all);
+  settings.all = std::erase(words, "--all") > 0;
+  settings.brief = std::erase(words, "--brief") > 0;
   if (words.size() == 2 && words[0] == "seed") return replay(numberOf(words[1]));
   const bool byCount = words.size() > 1 && words[0] == "count";
   if (byCount) words.erase(words.begin());
@@ -125,6 +127,6 @@
               static_cast<unsigned long long>(settings.first), static_cast<double>(player.played()) / seconds,
               static_cast<unsigned long long>(player.failures()));
   if (failed == kNone) return 0;
-  printFailure(failed, false);
+  if (!settings.brief) printFailure(failed, false);
   return 1;
 }
