Let a primary that was cut off keep its backups, and start elections 100 ms apart

Change: where more members are silent than losses are tolerated, backups stay as they are; electionStagger is 100 ms.

Backups.StayAsMany... fails without the change. 89 tests of the replica, elections and take-overs pass.

--- a/src/agreement/replica.hpp
+++ b/src/agreement/replica.hpp
@@ -52,7 +52,7 @@
     Millis heartbeatEvery = 200;
     Millis lease = 1100;
     Millis leaseMargin = 100;      // kept from the lease for the rates of clocks
-    Millis electionStagger = 200;  // between members that may start an election
+    Millis electionStagger = 100;  // between members that may start an election
     Millis backupTimeout = 800;    // of silence, until another member becomes the backup
     // A member with an empty disk accepts no record and gives no vote before.
     Millis listenBeforeJoining = 2000;
--- a/src/agreement/replica_membership.cpp
+++ b/src/agreement/replica_membership.cpp
@@ -54,7 +54,8 @@
       std::count_if(record.members.begin(), record.members.end(), [&](const NodeId& member) {
         return member != self_ && now - heardAt(member) >= timing_.backupTimeout;
       }));
-  const unsigned needed = std::max(1u, timing_.losses - std::min(timing_.losses, silent));
+  if (silent > timing_.losses) return false;  // more likely this node is cut off, or was
+  const unsigned needed = std::max(1u, timing_.losses - silent);
   if (next == record.backups || next.size() < std::min<std::size_t>(needed, record.backups.size()))
     return false;
   for (const NodeId& backup : next)
--- a/tests/system/elections_test.cpp
+++ b/tests/system/elections_test.cpp
@@ -179,6 +179,41 @@
   EXPECT_EQ(empty.epoch(), heartbeat.epoch);
 }
 
+// A primary that was cut off with one witness for less than its lease takes all others for silent. They are
+// not: it was. With that witness as its only backup, the two of them would be the only ones to have the next
+// change.
+TEST(Backups, StayAsManyAsTheLossesWhereThePrimaryWasCutOff) {
+  Replica::Timing timing;
+  timing.losses = 2;
+  const Millis cutFor = timing.backupTimeout + 60;
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    CoreWorld world(seed, 5, 0, timing);
+    world.startAll();
+    ASSERT_TRUE(world.settle(8000));
+    world.run(1000);
+    const NodeId primary = *world.server();
+    const Record before = world.at(primary).durable().record;
+    const auto witness = std::find_if(world.names().begin(), world.names().end(), [&](const NodeId& name) {
+      return name != primary && !before.isBackup(name);
+    });
+    const auto cutOff = [&](bool cut) {
+      for (const NodeId& name : world.names()) {
+        if (name == primary || name == *witness) continue;
+        world.cutOneWay(primary, name, cut);
+        world.cutOneWay(name, primary, cut);
+      }
+    };
+    cutOff(true);
+    world.run(cutFor);
+    cutOff(false);
+    for (Millis end = world.now() + 2000; world.now() < end;) {
+      world.run(5);
+      for (const NodeId& name : world.names())
+        ASSERT_EQ(world.at(name).durable().record.backups.size(), 2u) << "seed " << seed;
+    }
+  }
+}
+
 // Versions that know nothing of uncertain epochs must not read a weaker demand out of a record than there is.
 TEST(InterruptedElections, AnOlderVersionReadsTheStricterDemand) {
   Message message;
