Tell machines in the storms of three others, as the operators' list does

Cause: where all were down at a start, the storms' machines were told of one other, and of none that was down where any was up. The check is as it was.

--- a/tests/system/core_storm.hpp
+++ b/tests/system/core_storm.hpp
@@ -248,6 +248,7 @@
   using Kind = Trouble::Kind;
   static constexpr Millis kStep = 100;
   static constexpr std::size_t kSpares = 2;
+  static constexpr std::size_t kSeedsTold = 3;
   static constexpr Millis kMomentWithin = 3000;
   static constexpr Millis kAllBackWithin = 1000;
   static constexpr Millis kWritesWithin = 10000;  // of calm
@@ -552,11 +553,13 @@
       away_.erase(found);
     }
     std::vector<NodeId> seeds;
-    for (std::size_t i = 0; i < started_ && seeds.size() < 3; ++i)
+    for (std::size_t i = 0; i < started_ && seeds.size() < kSeedsTold; ++i)
       if (world_.up(world_.names()[i])) seeds.push_back(world_.names()[i]);
-    // The list that a machine is told from lags: where all are down, it names those that were up.
-    for (std::size_t i = 0; i < started_ && seeds.empty(); ++i)
-      if (world_.names()[i] != node && !gone_.contains(world_.names()[i])) seeds.push_back(world_.names()[i]);
+    // The list that a machine is told from lags: where fewer are up, it names those that were.
+    for (std::size_t i = 0; i < started_ && seeds.size() < kSeedsTold; ++i) {
+      const NodeId& name = world_.names()[i];
+      if (name != node && !world_.up(name) && !gone_.contains(name)) seeds.push_back(name);
+    }
     world_.seeds(seeds);
     world_.start(node, false);
   }
