--- a/src/agreement/ballot.cpp
+++ b/src/agreement/ballot.cpp
@@ -89,6 +89,7 @@
   std::sort(voters.rbegin(), voters.rend());
   if (voters.size() > most) voters.resize(most);
   std::vector<NodeId> out;
+  out.reserve(voters.size());
   for (const auto& [dataEpoch, from] : voters) out.push_back(from);
   std::sort(out.begin(), out.end());
   return out;
--- a/src/agreement/store.cpp
+++ b/src/agreement/store.cpp
@@ -24,7 +24,7 @@
 // A key for each accepted change, this and its revision in 16 hexadecimal digits, so that they are kept in
 // order and a write touches only those that are new; the value is the digest.
 constexpr std::string_view kAcceptedPrefix = "accepted/";
-constexpr std::size_t kWriteBuffer = 256 * 1024;
+constexpr std::size_t kWriteBuffer = 256UL * 1024;
 
 leveldb::Options options() {
   leveldb::Options out;
--- a/src/control/member_links.cpp
+++ b/src/control/member_links.cpp
@@ -27,7 +27,7 @@
 void MemberLinks::send(const NodeId& to, const Message& message) {
   Peer& receiver = peer(to);
   if (message.state) return sendState(receiver, message);
-  receiver.control.call(toFrame(message), kHeardWithin, [](std::optional<Frame>) {});
+  receiver.control.call(toFrame(message), kHeardWithin, [](const std::optional<Frame>&) {});
 }
 
 void MemberLinks::sendState(Peer& peer, const Message& message) {
@@ -39,7 +39,7 @@
   // It goes behind what is still under way on that connection.
   peer.bytesUnderWay += bytes;
   peer.states.call(std::move(frame), stateTimeout(peer.bytesUnderWay),
-                   [&peer, id, bytes](std::optional<Frame>) {
+                   [&peer, id, bytes](const std::optional<Frame>&) {
                      peer.bytesUnderWay -= bytes;
                      if (peer.underWay == id) peer.underWay.reset();
                    });
--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -61,6 +61,11 @@
   return out;
 }
 
+// How many members may be lost with a quorum left.
+std::size_t toleratedLosses(const Record& record) {
+  return (std::max<std::size_t>(1, record.members.size()) - 1) / 2;
+}
+
 CallReply refusal(http::status status, const std::string& why, const char* retryAfter = nullptr) {
   CallReply out = callReply(status, why + "\n");
   if (retryAfter) out.set(http::field::retry_after, retryAfter);
@@ -308,7 +313,7 @@
                         {"members", kept.record.members},
                         {"leaving", kept.record.leaving},
                         {"backups", kept.record.backups},
-                        {"bears", (std::max<std::size_t>(1, kept.record.members.size()) - 1) / 2},
+                        {"bears", toleratedLosses(kept.record)},
                         {"toBear", settings_.machineFailures},
                         {"revision", kept.state.revision}};
   if (lead_) {
@@ -338,7 +343,7 @@
   out.gauge("lilacmux_members", "Members of the core", static_cast<double>(kept.record.members.size()));
   out.gauge("lilacmux_backups", "Backups of the core", static_cast<double>(kept.record.backups.size()));
   out.gauge("lilacmux_bears", "Losses that the members bear",
-            static_cast<double>((std::max<std::size_t>(1, kept.record.members.size()) - 1) / 2));
+            static_cast<double>(toleratedLosses(kept.record)));
   out.gauge("lilacmux_to_bear", "Losses that they are to bear", settings_.machineFailures);
   out.gauge("lilacmux_revision", "The newest configuration kept", static_cast<double>(kept.state.revision));
   if (lead_)
--- a/src/fleet/follower.cpp
+++ b/src/fleet/follower.cpp
@@ -49,6 +49,7 @@
 
 void Follower::prefer(const std::vector<RelayPlace>& best) {
   std::vector<std::string> addresses;
+  addresses.reserve(best.size());
   for (const RelayPlace& relay : best) addresses.push_back(relay.address);
   auto told = read(addresses);
   if (told == preferred_ || told.empty()) return;
@@ -81,15 +82,15 @@
 // Who is left at will need not go on counting on what it has lent.
 void Follower::leave() {
   if (!known_ || !client_ || !host_.leaves) return;
-  client_->call(toFrame(host_.leaves()), span(FollowPace::kAnswerWithin), [](std::optional<Frame>) {});
+  client_->call(toFrame(host_.leaves()), span(FollowPace::kAnswerWithin), [](const std::optional<Frame>&) {});
 }
 
-void Follower::end(std::function<FollowCall()> leaves, std::function<void()> done) {
+void Follower::end(const std::function<FollowCall()>& leaves, std::function<void()> done) {
   if (std::exchange(ended_, true)) return;
   timer_.cancel();
   if (!known_ || !client_) return done();
   client_->call(toFrame(leaves()), span(kLeaveWithin),
-                [done = std::move(done)](std::optional<Frame>) { done(); });
+                [done = std::move(done)](const std::optional<Frame>&) { done(); });
 }
 
 // To the best one.
--- a/src/fleet/follower.hpp
+++ b/src/fleet/follower.hpp
@@ -33,7 +33,7 @@
   void hurry(Millis gap);
   // Asks no more; says that it leaves, where it is known, and calls `done` once that is heard or nobody
   // hears.
-  void end(std::function<FollowCall()> leaves, std::function<void()> done);
+  void end(const std::function<FollowCall()>& leaves, std::function<void()> done);
   // Other places to ask, beside those that are known.
   void add(const std::vector<Endpoint>& candidates);
   // The places to ask as long as they answer, the best first.
--- a/src/settings/configuration.hpp
+++ b/src/settings/configuration.hpp
@@ -45,8 +45,8 @@
 };
 
 struct RequestLimits {
-  std::size_t headerBytes = 16 * 1024;
-  std::size_t bodyBytes = 64 * 1024 * 1024;
+  std::size_t headerBytes = 16UL * 1024;
+  std::size_t bodyBytes = 64UL * 1024 * 1024;
   double headerTimeoutMs = 3000;
   double idleTimeoutMs = 15000;
 };
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/.."
 
 need=()
-for tool in cmake g++ clang-format make spin; do
+for tool in cmake g++ clang-format clang-tidy make spin; do
   command -v "$tool" >/dev/null || need+=("$tool")
 done
 [ -e /usr/include/gtest/gtest.h ] || need+=(libgtest-dev)
@@ -24,6 +24,11 @@
 clang-format --dry-run --Werror src/*.cpp src/*.hpp src/*/*.cpp src/*/*.hpp include/irisring/*.hpp \
   tests/*.cpp tests/*.hpp tests/*/*.cpp tests/*/*.hpp
 
+# The linter, over the control side's cores and adapters (.clang-tidy).
+cmake -S . -B build-test/lint -DCMAKE_EXPORT_COMPILE_COMMANDS=ON >/dev/null
+ls src/{agreement,control,fleet,quota,settings}/*.cpp |
+  xargs -P"$(nproc)" -n1 clang-tidy --quiet -p build-test/lint 2>/dev/null
+
 for kind in plain sanitize; do
   sanitize=OFF
   [ "$kind" = sanitize ] && sanitize=ON
