--- a/tests/system/core_world.hpp
+++ b/tests/system/core_world.hpp
@@ -229,9 +229,21 @@
       Fate fate = Fate::goesOn;
       if (message.kind == Message::Kind::replicate) fate = world.fateOf(Moment::sendsState, self);
       if (message.kind == Message::Kind::replicateAck) fate = world.fateOf(Moment::confirmsState, self);
+      if (!restsOnDisk(message)) world.violate(self + " says what it has not stored");
       if (fate != Fate::diesBefore) world.post(self, to, message);
       if (fate != Fate::goesOn) node.dying = true;
     }
+    // A vote needs its promise on disk, an accepted record itself, a confirmed state its copy.
+    bool restsOnDisk(const Message& message) const {
+      using Kind = Message::Kind;
+      static const Durable empty;
+      const Durable& disk = node.disk ? *node.disk : empty;
+      if (message.kind == Kind::vote) return !message.granted || disk.promised >= message.epoch;
+      if (message.kind == Kind::heartbeatAck) return !message.granted || disk.record.epoch >= message.epoch;
+      if (message.kind == Kind::replicateAck)
+        return disk.dataEpoch >= message.epoch && disk.state.sequence >= message.sequence;
+      return true;
+    }
     bool store(const Durable& durable) override {
       if (node.dying) return true;
       if (node.full) return false;
