Answer an announcement by the one that tells its time, and drop what node.cpp no longer uses

Found on reading the change once more: the answer to an announcement was made a second way, without the sender's clock, and so put the newest announcement that its receiver had of the node back to 0. That only put an emptied member's joining off by a heartbeat; sendAnnouncement serves both now. A constant and an include of node.cpp stood without use.

--- a/src/agreement/replica_membership.cpp
+++ b/src/agreement/replica_membership.cpp
@@ -26,7 +26,7 @@
   // Not persisted: only the first start leaves members without a record on disk.
   if (durable_.record.members.empty()) durable_.record.members = theirs.members;
   if (theirs.epoch < durable_.record.epoch || (theirs.members.empty() && !durable_.record.members.empty()))
-    host_.send(message.from, makeMessage(Message::Kind::announce));
+    sendAnnouncement(now, message.from);
   if (!durable_.record.has(message.from)) observers_[message.from] = now;
 }
 
--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -1,7 +1,6 @@
 #include "control/node.hpp"
 
 #include <unistd.h>
-#include <xxhash.h>
 
 #include <boost/asio/post.hpp>
 #include <chrono>
@@ -23,7 +22,6 @@
 constexpr const char* kRetryAfter = "0.2";  // seconds; a primary is chosen within a few of them
 constexpr Millis kRecoverEvery = 1000;
 constexpr auto kLeaveAfter = 350ms;  // what was said last goes out, and each gatekeeper has asked once more
-constexpr Millis kRelayKept = 2000;  // without a word, until gatekeepers are no longer sent there
 constexpr std::size_t kMostConfiguration = 8 << 20;
 constexpr std::size_t kLinks = 512;  // of gatekeepers and members
 constexpr const char* kPack = "application/msgpack";
