End an answer without a length only by its server's orderly end, and never by another answer

Cause: (1) a write that fails takes the socket's error, and write() then shuts the socket down, so the read that follows a reset sees an orderly end and the part of an answer without a length counted as whole. (2) Behind such an answer everything up to the connection's end counted as its body, also a second answer of a server that stutters.

Change: no end after a failed write ends an answer; AppendedAnswerScanner (a state machine) looks for the head of an answer within such a body, holds back what may begin one, and the answer counts as broken off where one is found or open at the end.

--- a/src/node/worker_pool.cpp
+++ b/src/node/worker_pool.cpp
@@ -8,6 +8,8 @@
 #include <limits>
 #include <utility>
 
+#include "node/appended_answer.hpp"
+
 namespace burlwind {
 namespace {
 
@@ -63,7 +65,7 @@
     startedAt_ = Clock::now();
     giveUpAt_ = timeout ? startedAt_ + *timeout : Clock::time_point::max();
     out_ = std::move(message);
-    written_ = false;
+    written_ = writeFailed_ = false;
     busy_ = true;
     streams_ = surplus_ = false;
     interim_ = 0;
@@ -152,6 +154,8 @@
   // Ready for an answer.
   void await() {
     answering_ = passing_ = false;
+    appended_ = {};
+    scanned_ = 0;
     head_.reset();
     called_ = 0;
     parser_.emplace();
@@ -198,6 +202,7 @@
                         if (!error) pool_.figures_.tried(out_.klass);
                         if (!error || !busy_) return;
                         written_ = false;
+                        writeFailed_ = true;
                         Error ignored;  // the pending read tells the rest, and that ends soon
                         socket_.shutdown(tcp::socket::shutdown_both, ignored);
                       }));
@@ -254,11 +259,18 @@
                             }));
   }
 
-  // An end that is part of the answer where its length is told by nothing else.
+  // Whether the connection's end is the answer's: its length is told by nothing else, the server ended it in
+  // order, and nothing that has come may belong to a further answer. A write that failed has taken the
+  // socket's error, so after it a reset looks like an orderly end; and the shutdown that follows makes one.
+  bool endsAnswer(const Error& error) const {
+    return error == asio::error::eof && !writeFailed_ && parser_->is_header_done() && parser_->need_eof() &&
+           appended_.undecided() == 0;
+  }
+
   void broken(const Error& error) {
-    Error failed = error;
     eof_ = true;
-    if (error == asio::error::eof && parser_->is_header_done() && parser_->need_eof()) {
+    Error failed = error;
+    if (endsAnswer(error)) {
       failed = {};
       parser_->put_eof(failed);
     }
@@ -290,6 +302,7 @@
     const bool done = feed(*parser_, in_, error);
     if (error) return end(streams_ ? Result::reset : Result::spoilt);
     if (passing_) return passSurplus(done);
+    if (hasAppendedAnswer()) return end(streams_ ? Result::reset : Result::spoilt);
     if (streams_) return passOn();
     auto& body = parser_->get().body();
     // Nobody reads what stands in an answer that does not go on.
@@ -300,6 +313,16 @@
     read();
   }
 
+  // Looks at what has come of a body whose end nothing but the connection's tells.
+  bool hasAppendedAnswer() {
+    if (!parser_->is_header_done() || !parser_->need_eof() || !pool_.reader_.goesOn(verdict_)) return false;
+    const auto bytes = parser_->get().body().data();
+    const std::string_view body(static_cast<const char*>(bytes.data()), bytes.size());
+    appended_.feed(body.substr(scanned_));
+    scanned_ = body.size();
+    return appended_.found();
+  }
+
   bool isLarge() const {
     if (!parser_->is_header_done() || !pool_.reader_.goesOn(verdict_)) return false;
     const auto length = parser_->content_length();
@@ -324,18 +347,20 @@
     return out;
   }
 
-  // What has come goes on as one piece, and the next is read once that is through; the read is then the only
-  // thing that waits for the worker.
+  // What has come goes on as one piece, but for bytes that may belong to a further answer, and the next is
+  // read once that is through; the read is then the only thing that waits for the worker.
   void passOn() {
     auto& body = parser_->get().body();
-    if (body.size() == 0 && parser_->is_done()) return answered();
-    if (body.size() == 0) {
+    const std::size_t ready = body.size() - appended_.undecided();
+    if (ready == 0 && parser_->is_done()) return answered();
+    if (ready == 0) {
       arm(Clock::now() + pool_.limits_.streamsOnWithin);
       return read();
     }
     timer_.cancel();
-    std::string bytes(static_cast<const char*>(body.data().data()), body.size());
-    body.consume(body.size());
+    std::string bytes(static_cast<const char*>(body.data().data()), ready);
+    body.consume(ready);
+    scanned_ -= std::min(scanned_, ready);
     pool_.sink_.piece(outcome_.id, std::move(bytes));
   }
 
@@ -413,11 +438,14 @@
   std::optional<AnswerHead> head_;   // of one that goes on
   Clock::time_point startedAt_, giveUpAt_, firstByteAt_;
   std::uint64_t called_ = 0;  // bytes of a large answer that have come or are on their way
+  AppendedAnswerScanner appended_;
+  std::size_t scanned_ = 0;  // bytes of the body held here that the scanner has seen
   unsigned interim_ = 0;
   bool up_ = false;
   bool busy_ = false;
-  bool written_ = false;    // the request's last byte: from here on it may have run
-  bool writing_ = false;    // the request's bytes are still in use
+  bool written_ = false;  // the request's last byte: from here on it may have run
+  bool writing_ = false;  // the request's bytes are still in use
+  bool writeFailed_ = false;
   bool answering_ = false;  // the answer's first byte has come
   bool streams_ = false;    // and the client has its begin
   bool reading_ = false;
--- a/tests/system/answers_test.cpp
+++ b/tests/system/answers_test.cpp
@@ -136,6 +136,88 @@
   EXPECT_EQ(ends[0].outcome.result, Result::connectFailed);
 }
 
+TEST_F(Answers, AnAnswerWithoutLengthThatIsResetWhileTheRequestIsStillWrittenIsNotWhole) {
+  const auto body = std::make_shared<const std::string>(32'000'000, 'b');
+  byId->start(1, 0, 1, {"POST / HTTP/1.1\r\nX-Attempt-Id: a\r\n\r\n", body, 0, "a"}, std::nullopt);
+  untilStuck();
+  worker.peers[0]->send("HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\nX-Attempt-Id: a\r\n\r\na part of the bo");
+  worker.peers[0]->end();  // with bytes unread: a reset
+  untilEnds(1);
+  EXPECT_NE(ends[0].outcome.result, Result::ok) << "body: " << ends[0].body;
+}
+
+// The same with the whole request written: the system tells the reset to the read.
+TEST_F(Answers, AnAnswerWithoutLengthThatIsResetIsNotWhole) {
+  const auto body = std::make_shared<const std::string>(200'000, 'b');
+  byId->start(1, 0, 1, {"POST / HTTP/1.1\r\nX-Attempt-Id: a\r\n\r\n", body, 0, "a"}, std::nullopt);
+  untilStuck();
+  worker.peers[0]->send("HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\nX-Attempt-Id: a\r\n\r\na part of the bo");
+  worker.peers[0]->end();
+  untilEnds(1);
+  EXPECT_NE(ends[0].outcome.result, Result::ok) << "body: " << ends[0].body;
+}
+
+// A stutter behind an answer without length: the second answer's bytes are no part of the first one's body.
+TEST_F(Answers, ASecondAnswerBehindOneWithoutLengthIsNoPartOfIt) {
+  ask(1, "a");
+  worker.peers[0]->send("HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\nX-Attempt-Id: a\r\n\r\nfirst" +
+                        seal("a", "first"));
+  worker.peers[0]->end();
+  untilEnds(1);
+  EXPECT_TRUE(ends[0].outcome.result != Result::ok || ends[0].body == "first") << "body: " << ends[0].body;
+}
+
+// However it is cut, over reads or by the connection's end.
+TEST_F(Answers, ASecondAnswerCutAnywhereIsNoPartOfOneWithoutLength) {
+  const std::string first = "HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\nX-Attempt-Id: a\r\n\r\nfirst";
+  const std::string second = seal("a", "first");
+  for (std::size_t came = 1; came <= second.size(); ++came) {
+    ends.clear();
+    ask(1, "a");
+    const auto peer = worker.peers.back();
+    peer->send(first + second.substr(0, came / 2));
+    io.restart();
+    io.poll();
+    peer->send(second.substr(came / 2, came - came / 2));
+    peer->end();
+    untilEnds(1);
+    EXPECT_NE(ends[0].outcome.result, Result::ok) << came << " bytes, body: " << ends[0].body;
+  }
+}
+
+// A large one goes on piece by piece: no byte of the second is among the pieces, and it does not end as
+// whole.
+TEST_F(Answers, ASecondAnswerBehindAStreamWithoutLengthIsNoPartOfIt) {
+  const std::string large(200'000, 'b');
+  ask(1, "a");
+  worker.peers[0]->send("HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\nX-Attempt-Id: a\r\n\r\n" + large +
+                        seal("a", large));
+  worker.peers[0]->end();
+  std::string got;
+  until(
+      [&] {
+        for (std::string& each : std::exchange(pieces, {})) {
+          got += each;
+          byId->more(1);
+        }
+        return !ends.empty();
+      },
+      "its end");
+  EXPECT_NE(ends[0].outcome.result, Result::ok);
+  EXPECT_LE(got.size(), large.size());
+  EXPECT_EQ(got, large.substr(0, got.size()));
+}
+
+// One without a length, ended in order, is whole, also ahead of the whole request.
+TEST_F(Answers, AnAnswerWithoutLengthThatEndsInOrderIsWhole) {
+  ask(1, "a");
+  worker.peers[0]->send("HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\nX-Attempt-Id: a\r\n\r\nHTTP is whole");
+  worker.peers[0]->end();
+  untilEnds(1);
+  EXPECT_EQ(ends[0].outcome.result, Result::ok);
+  EXPECT_EQ(ends[0].body, "HTTP is whole");
+}
+
 // The process stood still while the connection came up: nobody waits for an answer any more.
 TEST_F(Answers, WhatHasRunOutOfTimeBeforeItsConnectionIsUpIsNotSent) {
   byId->start(1, 0, 1, {"GET / HTTP/1.1\r\n\r\n", nullptr, 0, "a"}, std::chrono::milliseconds(2));
