Let control processes announce themselves to each other, so that everybody finds the core after a loss of power

Cause: a member that had found the primary by its own disk told nobody else. Gatekeepers and control processes without a disk knew only their settings' seeds; where these were processes without a disk too, none of them knew the core, and ControlNode::framed threw away the announcements that would have told. A reload took up no new seeds.

Change: every control process keeps a PeerDirectory (seeds, remembered peers, the newest view of the core) and announces itself to seeds and peers until answered; both sides tell what they know. One without a disk answers followers with that view. Followers ask by Candidates: each candidate once a round, seeds never dropped (twelve were kept, the oldest dropped). All roles take up new seeds at a reload. Peers are remembered on disk, without a sync. A control process whose disk fails at its start serves as one without a disk until it works, and does not end.

--- a/src/agreement/replica.cpp
+++ b/src/agreement/replica.cpp
@@ -13,7 +13,7 @@
 Replica::Replica(NodeId self, const std::vector<NodeId>& seeds, bool bootstrap, std::optional<Durable> stored,
                  const Timing& timing, Millis now, ReplicaHost& host)
     : self_(std::move(self)),
-      seeds_(seeds),
+      contacts_(seeds),
       timing_(timing),
       host_(host),
       startedAt_(now),
@@ -131,7 +131,7 @@
 void Replica::announce(Millis now) {
   announcedAt_ = now;
   std::set<NodeId> to = memberSet();
-  to.insert(seeds_.begin(), seeds_.end());
+  to.insert(contacts_.begin(), contacts_.end());
   to.insert(knownMembers_.begin(), knownMembers_.end());
   to.erase(self_);
   for (const NodeId& node : to) sendAnnouncement(now, node);
--- a/src/agreement/replica.hpp
+++ b/src/agreement/replica.hpp
@@ -76,6 +76,9 @@
   void propose(Millis now, const State& next);
   // Shuts down in order: a backup may take over at once.
   void resign();
+  // Where else the core may be, in place of what was said before: it announces itself there as well. A hint:
+  // it decides nothing.
+  void setContacts(std::vector<NodeId> contacts) { contacts_ = std::move(contacts); }
 
   bool isMember() const;
   // Whether the committed state is the newest there is, now.
@@ -147,7 +150,7 @@
   Millis heardAt(const NodeId& node) const;
 
   const NodeId self_;
-  const std::vector<NodeId> seeds_;
+  std::vector<NodeId> contacts_;  // at first the seeds
   const Timing timing_;
   ReplicaHost& host_;
   Durable durable_;
--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -6,6 +6,7 @@
 #include <chrono>
 
 #include "agreement/messages.hpp"
+#include "discovery/peer_file.hpp"
 #include "figures/exposition.hpp"
 #include "net/steady.hpp"
 #include "settings/configuration.hpp"
@@ -21,22 +22,26 @@
 constexpr auto kTick = 100ms;
 constexpr const char* kRetryAfter = "0.2";  // seconds; a primary is chosen within a few of them
 constexpr Millis kRecoverEvery = 1000;
+constexpr Millis kRememberEvery = 10000;  // at most, what is known of peers
 constexpr auto kLeaveAfter = 350ms;  // what was said last goes out, and each gatekeeper has asked once more
 constexpr std::size_t kMostConfiguration = 8 << 20;
 constexpr std::size_t kLinks = 512;  // of gatekeepers and members
 constexpr const char* kPack = "application/msgpack";
 
-std::string textOf(const boost::asio::ip::tcp::endpoint& at) {
-  return at.address().to_string() + ":" + std::to_string(at.port());
-}
-
-// The other members' internal addresses, by what their control addresses are told to be.
-std::vector<NodeId> internal(const NodeSettings& settings) {
+std::vector<NodeId> seedsOf(const NodeSettings& settings) {
   std::vector<NodeId> out;
-  for (const Endpoint& seed : settings.seeds) out.push_back(textOf({seed.address(), controlPort(settings)}));
+  for (const Endpoint& seed : controlSeeds(settings)) out.push_back(textOf(seed));
   return out;
 }
 
+std::filesystem::path peerFile(const NodeSettings& settings) {
+  return *settings.dataDirectory / "control-peers.json";
+}
+
+std::vector<NodeId> rememberedPeers(const NodeSettings& settings) {
+  return settings.dataDirectory ? readPeers(peerFile(settings)) : std::vector<NodeId>();
+}
+
 const NodeSettings& checked(const NodeSettings& settings) {
   if (!settings.controlPlane)
     throw SettingsError("listeners.controlPlane: is missing, the control role needs it");
@@ -92,12 +97,16 @@
       settings_(checked(settings)),
       log_(std::move(log)),
       self_(settings.address + ":" + std::to_string(controlPort(settings))),
+      bootstrap_(settings.bootstrap),
+      directory_(self_, seedsOf(settings), rememberedPeers(settings), {}),
+      announcer_(io, directory_),
+      remembered_(rememberedPeers(settings)),
       members_(io),
       relay_(settings.name, {self_, settings.zone}, newLife(), now()),
       tick_(io),
       leave_(io) {
-  if (settings_.dataDirectory) begin(settings_.bootstrap);
-  if (!replica_) log_("no disk: keeps nothing, and shows operators the way to those that do");
+  if (!settings_.dataDirectory) log_("no disk: keeps nothing, and shows operators the way to those that do");
+  if (settings_.dataDirectory) recover();
   frames_.emplace(
       io_, Endpoint(boost::asio::ip::make_address(settings_.address), controlPort(settings_)), kLinks,
       [this](Frame&& frame, const FrameServer::Reply& reply) { framed(std::move(frame), reply); }, log_);
@@ -107,12 +116,23 @@
   limits.wholeWithin = 10000ms;
   calls_.emplace(io_, *settings_.controlPlane, limits,
                  [this](Call&& call, const Respond& respond) { called(std::move(call), respond); });
-  std::vector<Endpoint> others;
-  for (const NodeId& node : internal(settings_)) others.push_back(parseAddress(node, "seedNodes"));
-  follower_ = std::make_unique<Follower>(io_, others, replica_ ? relaysHost() : onlookersHost());
+  follow();
   tick();
 }
 
+void ControlNode::follow() {
+  follower_ =
+      std::make_unique<Follower>(io_, controlSeeds(settings_), replica_ ? relaysHost() : onlookersHost());
+  coreTold_.reset();
+}
+
+// The follower asks where the core is by the newest view.
+void ControlNode::guideFollower() {
+  if (coreTold_ == directory_.core().epoch) return;
+  coreTold_ = directory_.core().epoch;
+  follower_->learnCore(directory_.core());
+}
+
 ControlNode::~ControlNode() = default;
 
 Millis ControlNode::now() const { return steadyMs(); }
@@ -148,6 +168,9 @@
 
 void ControlNode::reload(const NodeSettings& settings) {
   const bool moved = settings.platform != settings_.platform;
+  settings_.seeds = settings.seeds;
+  directory_.setSeeds(seedsOf(settings_));
+  follower_->setSeeds(controlSeeds(settings_));
   settings_.platform = settings.platform;
   settings_.platformRatePerS = settings.platformRatePerS;
   if (moved && watch_) watchPlatform();
@@ -169,28 +192,64 @@
   store_.reset();
   store_.emplace(Disk{*settings_.dataDirectory / "control", nullptr, nullptr}, log_);
   replica_ =
-      std::make_unique<Replica>(self_, internal(settings_), bootstrap && !store_->wasSetAside(),
+      std::make_unique<Replica>(self_, seedsOf(settings_), bootstrap && !store_->wasSetAside(),
                                 store_->read(), timingOf(settings_), now(), static_cast<ReplicaHost&>(*this));
+  bootstrap_ = false;
+  contacts_.clear();
 }
 
 // A disk that took no more bytes may take them again: the member starts anew from what it has kept, as after
-// a restart of the process. LevelDB writes nothing more through what has failed once.
+// a restart of the process. LevelDB writes nothing more through what has failed once. Where the disk fails at
+// the start already, the process serves meanwhile as one without a disk does.
 void ControlNode::recover() {
   if (now() < recoverAt_) return;
   recoverAt_ = now() + kRecoverEvery;
+  const bool isFirst = !replica_, ranWithout = isFirst && follower_;
   try {
-    begin(false);
-    log_("the disk is in use again");
+    begin(bootstrap_);
+    if (!isFirst || ranWithout) log_("the disk is in use again");
+    if (ranWithout) follow();
   } catch (const std::exception& why) {
     log_(std::string("the disk is still out of use: ") + why.what());
   }
 }
 
-void ControlNode::tick() {
-  if (!replica_) return;
+void ControlNode::tickReplica() {
   if (replica_->hasFailed()) recover();
+  tellDirectory();
+  shareContacts();
   if (!leaving_) replica_->tick(now());
   pump();
+}
+
+// What this member knows of the core itself.
+void ControlNode::tellDirectory() {
+  directory_.setOwnView({replica_->epoch(), replica_->members()}, replica_->isMember());
+}
+
+// Where the core may be, by what others have told.
+void ControlNode::shareContacts() {
+  auto contacts = directory_.contacts();
+  if (contacts == contacts_) return;
+  contacts_ = contacts;
+  replica_->setContacts(std::move(contacts));
+}
+
+// Seldom, and only where it has changed: each write may have to wait for the disk.
+void ControlNode::rememberPeers() {
+  if (!settings_.dataDirectory || now() < rememberAt_) return;
+  rememberAt_ = now() + kRememberEvery;
+  auto peers = directory_.peers();
+  if (peers == remembered_ || !writePeers(peerFile(settings_), peers)) return;
+  remembered_ = std::move(peers);
+}
+
+void ControlNode::tick() {
+  if (!replica_ && settings_.dataDirectory) recover();
+  if (replica_) tickReplica();
+  guideFollower();
+  if (!leaving_) announcer_.tick();
+  rememberPeers();
   tick_.expires_after(kTick);
   tick_.async_wait([this](const boost::system::error_code& error) {
     if (!error) tick();
@@ -272,9 +331,7 @@
 }
 
 void ControlNode::elsewhere(const std::string& path, const Respond& respond) const {
-  const NodeId leader = replica_               ? replica_->leader()
-                        : seen_.relays.empty() ? NodeId()
-                                               : seen_.relays.front().address;
+  const NodeId leader = replica_ ? replica_->leader() : towardsCore();
   if (leader.empty() || leader == self_)
     return respond(refusal(http::status::service_unavailable, "no primary yet", kRetryAfter));
   const Endpoint at = parseAddress(leader, "leader");
@@ -283,6 +340,13 @@
   respond(std::move(out));
 }
 
+// Of one without a disk: a relay, else a member of the core, which knows the primary.
+NodeId ControlNode::towardsCore() const {
+  if (!seen_.relays.empty()) return seen_.relays.front().address;
+  const auto members = directory_.coreCandidates();
+  return members.empty() ? NodeId() : members[answered_ % members.size()];
+}
+
 void ControlNode::describe(const Respond& respond) {
   const State& state = replica_->committed();
   if (!state.body) return respond(refusal(http::status::not_found, "no configuration yet"));
@@ -376,8 +440,9 @@
 // -------------------------------------------------------------------------------------
 
 void ControlNode::framed(Frame&& frame, const FrameServer::Reply& reply) {
-  if (!replica_) return reply(toFrame(FollowAnswer{}));
   ++answered_;
+  if (const auto presence = presenceOf(frame)) return reply(announcer_.answer(*presence));
+  if (!replica_) return reply(toFrame(wayToCore()));
   if (const auto call = followCallOf(frame))
     return reply(toFrame(call->address.empty() ? relayed(*call) : feed(*call)));
   const auto message = messageOf(std::move(frame));
@@ -385,18 +450,24 @@
   if (message) replica_->receive(now(), *message);
 }
 
+// Asked elsewhere, and where.
+FollowAnswer ControlNode::wayToCore() const {
+  FollowAnswer out;
+  out.core = directory_.core();
+  return out;
+}
+
 // A gatekeeper's call, answered by the relay here.
 FollowAnswer ControlNode::relayed(const FollowCall& call) {
   FollowAnswer out = relay_.follow(now(), call);
   if (relay_.isShort()) follower_->hurry(FollowPace::kRelayGap);
-  if (out.epoch == 0) out.core = replica_->members();
+  if (out.epoch == 0) out.core = directory_.core();
   return out;
 }
 
 // A relay's call, answered by the primary.
 FollowAnswer ControlNode::feed(const FollowCall& call) {
-  FollowAnswer out;
-  out.core = replica_->members();
+  FollowAnswer out = wayToCore();
   if (!replica_->mayServe(now()) || !lead_) {
     if (replica_->leader() != self_) out.leader = replica_->leader();
     return out;
--- a/src/control/node.hpp
+++ b/src/control/node.hpp
@@ -15,6 +15,8 @@
 #include "agreement/store.hpp"
 #include "control/configuration_service.hpp"
 #include "control/member_links.hpp"
+#include "discovery/announcer.hpp"
+#include "discovery/peer_directory.hpp"
 #include "fleet/follower.hpp"
 #include "fleet/platform.hpp"
 #include "fleet/primary.hpp"
@@ -51,8 +53,14 @@
   void log(const std::string& line) override { log_(line); }
 
   void tick();
+  void tickReplica();
   void begin(bool bootstrap);
   void recover();
+  void follow();
+  void guideFollower();
+  void tellDirectory();
+  void shareContacts();
+  void rememberPeers();
   void called(Call&& call, const Respond& respond);
   void replace(Call&& call, const Respond& respond);
   void describe(const Respond& respond);
@@ -62,6 +70,8 @@
   void pump();
   void join(Millis at);
   void framed(Frame&& frame, const FrameServer::Reply& reply);
+  FollowAnswer wayToCore() const;
+  NodeId towardsCore() const;
   FollowAnswer feed(const FollowCall& call);
   FollowAnswer relayed(const FollowCall& call);
   void lead(const State& state);
@@ -75,14 +85,20 @@
   const Log log_;
   const NodeId self_;
   std::optional<Store> store_;
+  bool bootstrap_;  // until the store has been opened once
   Millis recoverAt_ = 0;
+  PeerDirectory directory_;
+  Announcer announcer_;
+  std::vector<NodeId> contacts_, remembered_;  // as the replica was told, as the file has them
+  Millis rememberAt_ = 0;
   MemberLinks members_;
   std::unique_ptr<Replica> replica_;      // none without a disk
   std::unique_ptr<Primary> lead_;         // while primary
   std::unique_ptr<PlatformWatch> watch_;  // while primary
   Relay relay_;
-  std::unique_ptr<Follower> follower_;  // the relay's, of the primary
-  FollowAnswer seen_;                   // without a disk: which relays there are, and how far it was told
+  std::unique_ptr<Follower> follower_;     // the relay's, of the primary
+  std::optional<std::uint64_t> coreTold_;  // to it: the epoch of the view
+  FollowAnswer seen_;                      // without a disk: which relays there are, and how far it was told
   ConfigurationService changes_;
   std::set<std::string> joining_;  // relays to be named as holders of shares
   boost::asio::steady_timer tick_, leave_;
--- /dev/null
+++ b/src/discovery/presence.cpp
@@ -0,0 +1,49 @@
+#include "discovery/presence.hpp"
+
+#include "net/frame_kind.hpp"
+#include "settings/settings.hpp"
+
+namespace lilacmux {
+namespace {
+
+constexpr const char* kPresence = "presence";
+
+bool areAddresses(const std::vector<NodeId>& nodes) {
+  try {
+    for (const NodeId& node : nodes) parseAddress(node, "node");
+    return true;
+  } catch (const SettingsError&) {
+    return false;
+  }
+}
+
+}  // namespace
+
+Frame toFrame(const Presence& presence) {
+  Frame out;
+  out.head = {{kKind, kPresence},
+              {"from", presence.from},
+              {"member", presence.isMember},
+              {"epoch", presence.core.epoch},
+              {"core", presence.core.members},
+              {"peers", presence.peers}};
+  return out;
+}
+
+std::optional<Presence> presenceOf(const Frame& frame) {
+  if (kindOf(frame) != kPresence) return std::nullopt;
+  auto out = whole<Presence>([&] {
+    Presence read;
+    frame.head.at("from").get_to(read.from);
+    frame.head.at("member").get_to(read.isMember);
+    frame.head.at("epoch").get_to(read.core.epoch);
+    frame.head.at("core").get_to(read.core.members);
+    frame.head.at("peers").get_to(read.peers);
+    return read;
+  });
+  if (out && !(areAddresses({out->from}) && areAddresses(out->core.members) && areAddresses(out->peers)))
+    return std::nullopt;
+  return out;
+}
+
+}  // namespace lilacmux
--- a/src/fleet/follower.cpp
+++ b/src/fleet/follower.cpp
@@ -1,6 +1,5 @@
 #include "fleet/follower.hpp"
 
-#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <chrono>
 #include <cmath>
@@ -11,28 +10,21 @@
 namespace lilacmux {
 namespace {
 
-constexpr double kNobodyLeads = 120;        // ms
-constexpr double kLeaveWithin = 200;        // for the last word of one that ends
-constexpr double kBackAfter = 5000;         // ms after which whoever is best is tried again
-constexpr std::ptrdiff_t kMostOthers = 12;  // the newest ones: where to go if no preferred one answers
+constexpr double kNobodyLeads = 120;  // ms
+constexpr double kLeaveWithin = 200;  // for the last word of one that ends
+constexpr double kBackAfter = 5000;   // ms after which whoever is best is tried again
 
 std::chrono::milliseconds span(double ms) { return std::chrono::milliseconds(std::lround(std::ceil(ms))); }
 
 }  // namespace
 
-Follower::Follower(boost::asio::io_context& io, std::vector<Endpoint> candidates, Host host)
-    : io_(io), candidates_(std::move(candidates)), timer_(io), host_(std::move(host)) {
-  if (!candidates_.empty()) go(candidates_.front());
+Follower::Follower(boost::asio::io_context& io, std::vector<Endpoint> seeds, Host host)
+    : io_(io), candidates_(std::move(seeds)), timer_(io), host_(std::move(host)) {
+  next();
   again(0);
 }
 
-void Follower::add(const std::vector<Endpoint>& candidates) {
-  for (const Endpoint& each : candidates)
-    if (std::find(candidates_.begin(), candidates_.end(), each) == candidates_.end())
-      candidates_.push_back(each);
-  if (std::ssize(candidates_) > kMostOthers)
-    candidates_.erase(candidates_.begin(), candidates_.end() - kMostOthers);
-}
+void Follower::learnCore(const CoreView& core) { candidates_.learnCore(core.epoch, read(core.members)); }
 
 // Those that cannot be read are told of and left out.
 std::vector<Endpoint> Follower::read(const std::vector<std::string>& addresses) const {
@@ -51,10 +43,7 @@
   std::vector<std::string> addresses;
   addresses.reserve(best.size());
   for (const RelayPlace& relay : best) addresses.push_back(relay.address);
-  auto told = read(addresses);
-  if (told == preferred_ || told.empty()) return;
-  preferred_ = std::move(told);
-  goBack();
+  if (candidates_.prefer(read(addresses))) goBack();
 }
 
 void Follower::again(Millis wait) {
@@ -95,21 +84,21 @@
 
 // To the best one.
 void Follower::goBack() {
-  at_ = 0;
-  if (client_ && client_->peer() != preferred_.front()) leave();
-  go(preferred_.front());
+  const Endpoint& best = candidates_.preferred().front();
+  if (client_ && client_->peer() != best) leave();
+  candidates_.asked(best);
+  go(best);
 }
 
 void Follower::next() {
-  const std::size_t all = preferred_.size() + candidates_.size();
-  if (all == 0) return;
-  at_ = (at_ + 1) % all;
-  go(at_ < preferred_.size() ? preferred_[at_] : candidates_[at_ - preferred_.size()]);
+  if (const auto candidate = candidates_.next()) go(*candidate);
 }
 
 void Follower::poll() {
   waits_ = false;
-  if (!preferred_.empty() && at_ != 0 && steadyMs() >= backAt_) goBack();
+  const auto& preferred = candidates_.preferred();
+  const bool isBest = preferred.empty() || (client_ && client_->peer() == preferred.front());
+  if (!isBest && steadyMs() >= backAt_) goBack();
   if (!client_) return again(FollowPace::kEvery);
   const Millis sentAt = steadyMs();
   client_->call(toFrame(host_.asks(pace_.ask(sentAt, known_))), span(FollowPace::kAnswerWithin),
@@ -130,7 +119,7 @@
     next();
     return failed(FollowPace::kAfterFailure);
   }
-  add(read(answer->core));  // the core's members change: who is asked must not be only those told first
+  learnCore(answer->core);  // the core's members change: who is asked must not be only those told first
   if (answer->epoch == 0) {
     try {
       if (answer->leader.empty())
@@ -145,7 +134,7 @@
   if (failures_ >= 3) host_.log("the control plane answers again");
   failures_ = 0;
   known_ = answer->known;
-  add({client_->peer()});
+  candidates_.answered(client_->peer());
   waits_ = true;
   again(known_ ? pace_.rest(steadyMs()) : 0);
   host_.news(*answer, sentAt);
--- a/src/fleet/follower.hpp
+++ b/src/fleet/follower.hpp
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "discovery/candidates.hpp"
 #include "fleet/pace.hpp"
 #include "fleet/wire.hpp"
 #include "net/frames.hpp"
@@ -28,14 +29,16 @@
     std::function<FollowCall()> leaves;  // if set: what is said to one that is left for a better one
   };
 
-  Follower(boost::asio::io_context& io, std::vector<Endpoint> candidates, Host host);
+  Follower(boost::asio::io_context& io, std::vector<Endpoint> seeds, Host host);
   // Asks again ahead of its time, that long after the call before at least.
   void hurry(Millis gap);
   // Asks no more; says that it leaves, where it is known, and calls `done` once that is heard or nobody
   // hears.
   void end(const std::function<FollowCall()>& leaves, std::function<void()> done);
-  // Other places to ask, beside those that are known.
-  void add(const std::vector<Endpoint>& candidates);
+  // The seeds of newer settings, in place of the former ones.
+  void setSeeds(std::vector<Endpoint> seeds) { candidates_.setSeeds(std::move(seeds)); }
+  // Where the core is, as told by others than the one that is asked.
+  void learnCore(const CoreView& core);
   // The places to ask as long as they answer, the best first.
   void prefer(const std::vector<RelayPlace>& best);
 
@@ -51,8 +54,7 @@
   void again(Millis wait);
 
   boost::asio::io_context& io_;
-  std::vector<Endpoint> preferred_, candidates_;
-  std::size_t at_ = 0;  // among the preferred ones and, behind them, the others
+  Candidates candidates_;
   std::unique_ptr<FrameClient> client_;
   boost::asio::steady_timer timer_;
   const Host host_;
--- a/src/fleet/wire.cpp
+++ b/src/fleet/wire.cpp
@@ -108,7 +108,8 @@
 Frame toFrame(const FollowAnswer& a) {
   Frame out;
   if (!a.leader.empty() || a.epoch == 0) {
-    out.head = {{kKind, "elsewhere"}, {"leader", a.leader}, {"core", a.core}};
+    out.head = {
+        {kKind, "elsewhere"}, {"leader", a.leader}, {"core", a.core.members}, {"coreEpoch", a.core.epoch}};
     return out;
   }
   out.head = {{kKind, "news"},          {"epoch", a.epoch},
@@ -116,7 +117,10 @@
               {"fleet", a.gatekeepers}, {"age", std::llround(std::ceil(a.ageMs))},
               {"grant", a.grant}};
   if (!a.known) out.head["unknown"] = true;
-  if (!a.core.empty()) out.head["core"] = a.core;
+  if (!a.core.members.empty()) {
+    out.head["core"] = a.core.members;
+    out.head["coreEpoch"] = a.core.epoch;
+  }
   if (a.news.servers) {
     out.head["snapshot"] = a.news.snapshot;
     out.head["set"] = a.news.set;
@@ -145,7 +149,8 @@
   return whole<FollowAnswer>([&] {
     FollowAnswer out;
     const json& in = frame.head;
-    if (in.contains("core")) in.at("core").get_to(out.core);
+    if (in.contains("core")) in.at("core").get_to(out.core.members);
+    out.core.epoch = in.value("coreEpoch", std::uint64_t{0});  // builds before this one do not tell
     if (kind == "elsewhere") {
       in.at("leader").get_to(out.leader);
       return out;
--- a/src/fleet/wire.hpp
+++ b/src/fleet/wire.hpp
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "discovery/core_view.hpp"
 #include "fleet/change_log.hpp"
 #include "net/frames.hpp"
 #include "quota/request_sums.hpp"
@@ -49,7 +50,7 @@
   std::vector<ShareGrant> grants;
   std::uint64_t retryGrant = 0;
   std::vector<ShareGrant> retries;
-  std::vector<std::string> core;  // its members, as the one that answers knows them
+  CoreView core;  // as the one that answers knows it
   std::uint64_t relaysAre = 0;
   std::vector<RelayPlace> relays;  // where the list is another than the caller's; the best to ask first
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -90,12 +90,6 @@
   return settings;
 }
 
-std::vector<Endpoint> candidates(const NodeSettings& settings) {
-  std::vector<Endpoint> out;
-  for (const Endpoint& seed : settings.seeds) out.emplace_back(seed.address(), controlPort(settings));
-  return out;
-}
-
 std::string_view pathOf(const ClientMessage& message) {
   const std::string_view target = view(message.target());
   return target.substr(0, target.find('?'));
@@ -163,7 +157,7 @@
                                                    ready() ? "ready\n" : "not ready\n"));
                      });
   follower_ = std::make_unique<Follower>(
-      io_, candidates(settings_),
+      io_, controlSeeds(settings_),
       Follower::Host{[this](ShareTell what) { return asks(what); },
                      [this](const FollowAnswer& answer, double sentAt) { news(answer, sentAt); },
                      [this] {
@@ -226,7 +220,7 @@
 }
 
 void Gateway::reload(const NodeSettings& settings) {
-  follower_->add(candidates(settings));
+  follower_->setSeeds(controlSeeds(settings));
   log_("settings read");
 }
 
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -115,6 +115,16 @@
   return {ip, static_cast<unsigned short>(port)};
 }
 
+std::vector<Endpoint> controlSeeds(const NodeSettings& settings) {
+  std::vector<Endpoint> out;
+  for (const Endpoint& seed : settings.seeds) out.emplace_back(seed.address(), controlPort(settings));
+  return out;
+}
+
+std::string textOf(const Endpoint& endpoint) {
+  return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+}
+
 NodeSettings parseSettings(std::string_view in) {
   const json root = json::parse(in.begin(), in.end(), nullptr, false);
   if (root.is_discarded()) wrong("settings", "are no JSON");
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -56,5 +56,9 @@
 
 // The internal port of the control role.
 inline unsigned short controlPort(const NodeSettings& s) { return s.firstPort; }
+// The internal addresses of the seeds' control roles.
+std::vector<Endpoint> controlSeeds(const NodeSettings& settings);
+// As it is written in messages and on disk: ip:port.
+std::string textOf(const Endpoint& endpoint);
 
 }  // namespace lilacmux
