--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -11,11 +11,10 @@
 #include <cstdlib>
 #include <exception>
 
+#include "cli/experiments.hpp"
 #include "cli/log.hpp"
 #include "cli/operator.hpp"
 #include "control/node.hpp"
-#include "experiment/capacity.hpp"
-#include "experiment/fleet.hpp"
 #include "gateway/gateway.hpp"
 #include "settings/settings.hpp"
 
@@ -165,39 +164,7 @@
   auto* status = app.add_subcommand("status", "what a running process knows");
   status->add_option("at", at, "its control or readiness listener, ip:port")->required();
   status->add_flag("--json", asJson, "as JSON");
-  FleetPlan plan;
-  auto* experiment = app.add_subcommand("experiment", "plays the system's cores under a simulated clock");
-  experiment->require_subcommand(1);
-  auto* fleet = experiment->add_subcommand("fleet", "quotas and news over a fleet, and what they cost");
-  fleet->add_option("--gatekeepers", plan.gatekeepers)->check(CLI::Range(1, 5000))->capture_default_str();
-  fleet->add_option("--tenants", plan.tenants)->check(CLI::Range(1, 500000))->capture_default_str();
-  fleet->add_option("--relays", plan.relays)->check(CLI::Range(1, 500))->capture_default_str();
-  fleet->add_option("--zones", plan.zones)->check(CLI::Range(1, 100))->capture_default_str();
-  fleet->add_option("--requests", plan.perGatekeeper, "a second and gatekeeper")->capture_default_str();
-  fleet->add_option("--headroom", plan.headroom, "quotas, of what is asked for")->capture_default_str();
-  fleet->add_option("--flood", plan.flood, "the largest tenant, times its quota")->capture_default_str();
-  fleet->add_option("--seconds", plan.seconds)->check(CLI::Range(1.0, 3600.0))->capture_default_str();
-  fleet->add_option("--seed", plan.seed)->capture_default_str();
-  fleet->add_option("--cut-relay-at", plan.cutRelayAtS, "s; 0: never")->capture_default_str();
-  fleet->add_option("--new-primary-at", plan.newPrimaryAtS, "s; 0: never")->capture_default_str();
-  fleet->add_option("--link-mbps", plan.linkMbps, "of a gatekeeper, inwards; 0: without a limit")
-      ->capture_default_str();
-  fleet->add_option("--downloads", plan.downloadsPerS, "a second and gatekeeper, through its link")
-      ->capture_default_str();
-  fleet->add_option("--download-kb", plan.downloadKb, "of each, mean")->capture_default_str();
-  fleet->add_option("--primary-gap", plan.primaryGapS, "s without one before that")->capture_default_str();
-  fleet->add_option("--servers", plan.servers, "on the list; 0: three a gatekeeper")->capture_default_str();
-  CapacityTarget target;
-  auto* capacity =
-      experiment->add_subcommand("capacity", "bytes, memory and processor time by size, as a table");
-  capacity->add_option("--routes", target.routes)->check(CLI::Range(1, 1000000))->capture_default_str();
-  capacity->add_option("--tenants", target.tenants)->check(CLI::Range(1, 1000000))->capture_default_str();
-  capacity->add_option("--services", target.services)->check(CLI::Range(1, 100000))->capture_default_str();
-  capacity->add_option("--servers", target.servers)->check(CLI::Range(1, 1000000))->capture_default_str();
-  capacity->add_option("--gatekeepers", target.gatekeepers)
-      ->check(CLI::Range(1, 100000))
-      ->capture_default_str();
-  capacity->add_option("--relays", target.relays)->check(CLI::Range(1, 10000))->capture_default_str();
+  ExperimentCommands experiments(app);
   try {
     app.parse(count, words);
   } catch (const CLI::ParseError& error) {
@@ -205,14 +172,7 @@
   }
   try {
     if (settings->parsed()) return check(file);
-    if (fleet->parsed()) {
-      std::printf("%s\n", lilacmux::asJson(plan, playFleet(plan)).c_str());
-      return 0;
-    }
-    if (capacity->parsed()) {
-      std::printf("%s", asTable(measureCapacity(target)).c_str());
-      return 0;
-    }
+    if (const auto code = experiments.run()) return *code;
     if (status->parsed()) return Operator::status(parseAddress(at, "at"), asJson);
     if (inspect->parsed()) return Operator::inspect(configuration);
     if (snapshot->parsed()) {
@@ -229,5 +189,8 @@
   } catch (const SettingsError& why) {
     std::fprintf(stderr, "lilacmux: %s\n", why.what());
     return kBadInput;
+  } catch (const DayError& why) {
+    std::fprintf(stderr, "lilacmux: %s\n", why.what());
+    return kBadInput;
   }
 }
--- a/tests/system/core_world.hpp
+++ b/tests/system/core_world.hpp
@@ -17,26 +17,11 @@
 #include <vector>
 
 #include "agreement/replica.hpp"
+#include "experiment/random.hpp"
 
 namespace lilacmux::test {
 
-// SplitMix64: small, fast, and the same with every standard library.
-class Random {
- public:
-  explicit Random(std::uint64_t seed) : state_(seed) {}
-  std::uint64_t next() {
-    std::uint64_t z = (state_ += 0x9e3779b97f4a7c15u);
-    z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9u;
-    z = (z ^ (z >> 27)) * 0x94d049bb133111ebu;
-    return z ^ (z >> 31);
-  }
-  double chance() { return static_cast<double>(next() >> 11) * 0x1.0p-53; }  // in [0, 1)
-  double below(double most) { return most * chance(); }
-  std::size_t index(std::size_t count) { return static_cast<std::size_t>(next() % count); }
-
- private:
-  std::uint64_t state_;
-};
+using Random = SeededRandom;
 
 // Steps of the protocol at which a trouble can be made to strike.
 enum class Moment {
