Take turns anew after a lost election, ask again for votes, and open no epoch without contact

Change: after a lost election the delay is drawn from the member's name and its round; requests for votes go out again while the ballot is open, and a vote that was given is given again; other backups and members only while a quorum has answered a heartbeat of the last 500 ms; an epoch that voters have not accepted counts as unused where the others are no quorum.

The tests pass.

--- a/src/agreement/ballot.cpp
+++ b/src/agreement/ballot.cpp
@@ -49,10 +49,23 @@
   });
 }
 
+// A change is committed only once a quorum has accepted its epoch's record. Voters that have not accepted it
+// never will, since they have promised a later round; so where the others are no quorum, nothing was ever
+// committed in it. A primary that was cut off may have opened such an epoch with whoever it still reached.
+bool Ballot::neverSettled(const Durable& own, const Record& record) const {
+  std::set<NodeId> mayHaveAccepted(record.members.begin(), record.members.end());
+  mayHaveAccepted.insert(record.leaving.begin(), record.leaving.end());
+  if (own.record.epoch < record.epoch) mayHaveAccepted.erase(candidate_);
+  for (const auto& [from, vote] : votes_)
+    if (vote.record.epoch < record.epoch) mayHaveAccepted.erase(from);
+  return !record.isQuorum(mayHaveAccepted);
+}
+
 // The newest record's epoch and the uncertain ones before it in which something may have been committed,
 // newest first.
 std::vector<Generation> Ballot::maybeUsed(const Durable& own, const Record& newest) const {
-  std::vector<Generation> out{newest.generation()};
+  std::vector<Generation> out;
+  if (!neverSettled(own, newest)) out.push_back(newest.generation());
   out.insert(out.end(), newest.uncertain.begin(), newest.uncertain.end());
   std::erase_if(out, [&](const Generation& generation) { return neverUsed(own, generation); });
   return out;
--- a/src/agreement/ballot.hpp
+++ b/src/agreement/ballot.hpp
@@ -37,6 +37,7 @@
   const Record& newestRecord(const Durable& own) const;
   bool hasAllCommitted(const Durable& own, const Record& newest) const;
   bool neverUsed(const Durable& own, const Generation& generation) const;
+  bool neverSettled(const Durable& own, const Record& record) const;
   std::vector<Generation> maybeUsed(const Durable& own, const Record& newest) const;
   void inherit(const Durable& own, Record& record) const;
   std::vector<NodeId> chooseBackups(const Record& record, std::size_t most) const;
--- a/src/agreement/replica.cpp
+++ b/src/agreement/replica.cpp
@@ -62,8 +62,8 @@
     if (member != self_) host_.send(member, message);
 }
 
-// A quorum, this node included, has granted the primary a lease until then.
-Millis Replica::leaseUntil(Millis now) const {
+// When the newest heartbeat was sent that a quorum, this node included, has answered.
+Millis Replica::quorumAckedAt(Millis now) const {
   const auto ackedBy = [&](const std::vector<NodeId>& members) {
     std::vector<Millis> acked;
     for (const NodeId& member : members) {
@@ -74,9 +74,13 @@
     return acked.empty() ? -1e18 : acked[members.size() / 2];
   };
   const Record& record = durable_.record;
-  Millis acked = ackedBy(record.members);
-  if (!record.leaving.empty()) acked = std::min(acked, ackedBy(record.leaving));
-  return acked + timing_.lease - timing_.leaseMargin;
+  const Millis acked = ackedBy(record.members);
+  return record.leaving.empty() ? acked : std::min(acked, ackedBy(record.leaving));
+}
+
+// A quorum, this node included, has granted the primary a lease until then.
+Millis Replica::leaseUntil(Millis now) const {
+  return quorumAckedAt(now) + timing_.lease - timing_.leaseMargin;
 }
 
 // A lease granted before a restart is not on disk, but it can only be that of the one promised the newest
@@ -156,6 +160,7 @@
   heartbeatAt_ = now;
   ballot_.reset();
   noElectionBefore_ = 0;
+  lostElection_ = false;
   if (!mayAccept(now, message)) return sendAnnouncement(now, message.from);
   if (message.epoch != durable_.record.epoch) {
     durable_.promised = message.epoch;
@@ -203,6 +208,7 @@
   }
   if (now - heartbeatSentAt_ >= timing_.heartbeatEvery) sendHeartbeats(now);
   if (!settled_) replicate(now);
+  if (now - quorumAckedAt(now) > timing_.quorumContact) return;
   if (replaceMember(now)) return;
   replaceSilentBackups(now);
 }
--- a/src/agreement/replica.hpp
+++ b/src/agreement/replica.hpp
@@ -63,6 +63,9 @@
     unsigned losses = 1;       // disks lost at once that the core tolerates
     // Between the elections by which a primary wins back members that promised another round.
     Millis reelectAfter = 500;
+    // Other backups or members are chosen only while a quorum has answered a heartbeat sent that recently: a
+    // primary that is being cut off would open an epoch that nobody else hears of.
+    Millis quorumContact = 500;
   };
 
   // `seeds`: the control nodes that were told, this one included or not. `bootstrap`: the whole system starts
@@ -105,6 +108,7 @@
   };
 
   std::set<NodeId> memberSet() const;
+  Millis quorumAckedAt(Millis now) const;
   Millis leaseUntil(Millis now) const;
   bool boundByLease(Millis now) const;  // granted by this node, or perhaps before its restart
   bool mayVoteFor(Millis now, const NodeId& candidate) const;
@@ -112,6 +116,7 @@
   bool persist();
   void broadcast(const Message& message);
   void sendToVoters(const Message& message);
+  void askForVotes();
   void noteKnownMembers(const Record& theirs);
   void dropSilentObservers(Millis now);
   Message makeMessage(Message::Kind kind) const;
@@ -134,6 +139,7 @@
   void sendAnnouncement(Millis now, const NodeId& to) const;
   void tickFollower(Millis now);
   void startPrevote(Millis now);
+  Millis electionDelay() const;
   void startElection(Millis now);
   std::uint64_t nextRound() const;
   void openEpoch(Millis now, const Record& record);
@@ -166,6 +172,7 @@
   Millis announcedAt_ = -1e18;
   std::optional<Ballot> ballot_;
   Millis noElectionBefore_ = 0;
+  bool lostElection_ = false;  // its last one, and no primary has been heard of since
 
   bool primary_ = false;
   bool settled_ = false;          // a quorum has accepted the record and all backups have the state
--- a/src/agreement/replica_election.cpp
+++ b/src/agreement/replica_election.cpp
@@ -1,4 +1,6 @@
 // Prevotes, votes, and the epochs that a primary opens.
+#include <xxhash.h>
+
 #include <algorithm>
 
 #include "agreement/replica.hpp"
@@ -13,36 +15,55 @@
          (candidate == durable_.promisedTo && (leader_.empty() || leader_ == candidate));
 }
 
-// To all that may be members: this node's own record may not be the newest.
+// To all that may be members and have not voted yet: this node's own record may not be the newest.
 void Replica::sendToVoters(const Message& message) {
   std::set<NodeId> voters = memberSet();
   voters.insert(knownMembers_.begin(), knownMembers_.end());
   voters.erase(self_);
-  for (const NodeId& voter : voters) host_.send(voter, message);
+  for (const NodeId& voter : voters)
+    if (!ballot_->votes().contains(voter)) host_.send(voter, message);
+}
+
+// Also again while the ballot is open: a request or its answer may have been lost.
+void Replica::askForVotes() {
+  const bool isPrevote = ballot_->phase() == Ballot::Phase::prevote;
+  Message request = makeMessage(isPrevote ? Message::Kind::prevoteRequest : Message::Kind::voteRequest);
+  if (!isPrevote) request.epoch = ballot_->epoch();
+  sendToVoters(request);
 }
 
 void Replica::tickFollower(Millis now) {
   if (boundByLease(now) || diskIsEmpty_) return;
-  if (ballot_ && ballot_->isOpen(now)) return;
-  if (noElectionBefore_ <= 0) {
-    // The last primary, after a restart, needs no stagger: the others may vote for it at once.
-    const auto& members = durable_.record.members;
-    const auto place = std::lower_bound(members.begin(), members.end(), self_) - members.begin();
-    const bool ledLast = durable_.record.primary == self_ && durable_.promisedTo == self_;
-    noElectionBefore_ = now + timing_.electionStagger * (ledLast ? 0.0 : static_cast<double>(place));
-  }
+  if (ballot_ && ballot_->isOpen(now)) return askForVotes();
+  if (ballot_ && ballot_->phase() == Ballot::Phase::vote) lostElection_ = true;
+  ballot_.reset();
+  if (noElectionBefore_ <= 0) noElectionBefore_ = now + electionDelay();
   if (now < noElectionBefore_) return;
   leader_.clear();
   startPrevote(now);
 }
 
+// Members take turns. Where two have split the votes their turns may fall together again and again, each as
+// late as its election before; so after a lost election the turn is another one each time.
+Millis Replica::electionDelay() const {
+  const auto& members = durable_.record.members;
+  const auto place = std::lower_bound(members.begin(), members.end(), self_) - members.begin();
+  if (lostElection_) {
+    const std::uint64_t drawn = XXH3_64bits_withSeed(self_.data(), self_.size(), durable_.promised);
+    return timing_.electionStagger * static_cast<double>(drawn % (2 * members.size()));
+  }
+  // The last primary, after a restart, needs no stagger: the others may vote for it at once.
+  const bool ledLast = durable_.record.primary == self_ && durable_.promisedTo == self_;
+  return timing_.electionStagger * (ledLast ? 0.0 : static_cast<double>(place));
+}
+
 // Asks who would vote before it promises anything, so that a member that cannot win, since the others are
 // bound by a lease or have newer state, disturbs nobody.
 void Replica::startPrevote(Millis now) {
   noElectionBefore_ = 0;
   ballot_.emplace(self_, Ballot::Phase::prevote, 0, now);
   if (ballot_->isWon(durable_)) return startElection(now);  // a core of one
-  sendToVoters(makeMessage(Message::Kind::prevoteRequest));
+  askForVotes();
 }
 
 // Members and others vote alike: the newest record among the votes, which this node may not have accepted
@@ -69,15 +90,17 @@
   if (!persist()) return;
   ballot_.emplace(self_, Ballot::Phase::vote, durable_.promised, now);
   if (ballot_->isWon(durable_)) return becomePrimary(now);
-  Message request = makeMessage(Message::Kind::voteRequest);
-  request.epoch = durable_.promised;
-  sendToVoters(request);
+  askForVotes();
 }
 
 void Replica::onVoteRequest(Millis now, const Message& message) {
   Message answer = makeMessage(Message::Kind::vote);
   answer.epoch = durable_.promised;
-  if (message.epoch <= durable_.promised || !mayVoteFor(now, message.from))
+  // Asked again: the promise stands, and nothing of another round has been accepted since.
+  const bool hasVoted = message.epoch == durable_.promised && message.from == durable_.promisedTo &&
+                        durable_.record.epoch < message.epoch && !diskIsEmpty_;
+  answer.granted = hasVoted;
+  if (hasVoted || message.epoch <= durable_.promised || !mayVoteFor(now, message.from))
     return host_.send(message.from, answer);
   if (primary_) stepDown("its lease has run out and another starts an election");
   durable_.promised = message.epoch;
