Ask a request that was turned away on another connection, and reset what only its end would tell to be whole

Cause, found by listing how bytes reach a client: (1) a server that turns a request away may say so twice; sent once more on the same connection the request carries the same id, so the late copy would count as the answer, and a booking that runs as not run. (2) A client of HTTP/1.0 is told of a stream's end by the connection's alone; a timer of ours, or this process's own end, ended it in order, so that a part looked whole.

Change: WorkerPool leaves a connection on which a request was answered, but not for good, to other requests. A stream that only its end delimits is reset wherever it ends until its last byte is written.

--- a/src/node/client_server.cpp
+++ b/src/node/client_server.cpp
@@ -137,6 +137,8 @@
     head.keep_alive(!last_);
     if (length) head.content_length(*length);
     if (chunked_) head.chunked(true);
+    endsByClose_ = !length && !chunked_;
+    if (endsByClose_) resetAtEnd(true);
     state_ = State::streaming;
     status_ = begun.status;
     append(out_, head, Written::head);
@@ -161,8 +163,7 @@
   void breakOff() override {
     if (state_ != State::streaming) return;
     if (call_) server_.figures_.broken(call_->klass);
-    Error ignored;
-    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    resetAtEnd(true);
     state_ = State::answering;  // the holder knows
     close();
   }
@@ -210,6 +211,14 @@
     };
   }
 
+  // Whether the connection is reset where it ends now, whoever ends it: a timer, the client's own silence, or
+  // the end of this process. Where nothing but an orderly end tells that an answer is whole, it is until
+  // then.
+  void resetAtEnd(bool yes) {
+    Error ignored;
+    socket_.set_option(asio::socket_base::linger(yes, 0), ignored);
+  }
+
   static void take(http::response<http::empty_body>& head, const http::fields& fields) {
     for (const auto& field : fields) head.insert(field.name_string(), field.value());
   }
@@ -480,6 +489,7 @@
 
   void written() {
     if (call_) server_.figures_.ended(call_->klass, status_);
+    if (std::exchange(endsByClose_, false)) resetAtEnd(false);
     body_ = {};
     if (last_) return linger();
     if (!ahead_.empty()) return turn();
@@ -523,6 +533,7 @@
   bool reading_ = false;
   bool writes_ = false;
   bool chunked_ = false;      // the large answer under way
+  bool endsByClose_ = false;  // the same: nothing else tells its end
   unsigned version_ = 11;     // of the request's HTTP
   Clock::time_point bodyAt_;  // its head was whole
   std::size_t bodyFrom_ = 0;
--- a/src/node/worker_pool.cpp
+++ b/src/node/worker_pool.cpp
@@ -21,7 +21,8 @@
 using Clock = std::chrono::steady_clock;
 
 constexpr std::uint64_t kUnknown = std::numeric_limits<std::uint64_t>::max();  // an answer's length
-constexpr unsigned kMostInterim = 8;  // 1xx answers, or surplus ones, ahead of one
+constexpr std::size_t kMostOpenIds = 16;  // of requests that were answered on one connection and not for good
+constexpr unsigned kMostInterim = 8;      // 1xx answers, or surplus ones, ahead of one
 
 using AnswerBody = http::basic_dynamic_body<beast::flat_buffer>;
 
@@ -104,8 +105,16 @@
     return error != asio::error::would_block;
   }
 
+  // Whether a late copy of an earlier answer could be taken for the answer to an attempt of that id.
+  bool mayRepeat(const std::string& id) const {
+    return !id.empty() && std::find(openIds_.begin(), openIds_.end(), id) != openIds_.end();
+  }
+
   // Idle from now on; it holds no more than it must.
   void rest() {
+    // An answer that goes to the client is the last of its id; after any other the same request may come
+    // again.
+    if (verdict_ != Result::ok && !out_.id.empty()) openIds_.push_back(out_.id);
     parser_.reset();
     out_ = {};
     bytes_.shrinkTo(0);
@@ -405,7 +414,8 @@
     whole.outcome = outcome_;
     whole.head = std::exchange(head_, std::nullopt);
     // Kept only if the exchange was a whole and ordinary one: nothing of it is left on either side.
-    const bool good = written_ && !writing_ && !eof_ && !surplus_ && in_.size() == 0 && answer.keep_alive();
+    const bool good = written_ && !writing_ && !eof_ && !surplus_ && in_.size() == 0 && answer.keep_alive() &&
+                      openIds_.size() < kMostOpenIds;
     whole.body.assign(static_cast<const char*>(answer.body().data().data()), answer.body().size());
     busy_ = false;
     const auto self = shared_from_this();
@@ -439,7 +449,8 @@
   Clock::time_point startedAt_, giveUpAt_, firstByteAt_;
   std::uint64_t called_ = 0;  // bytes of a large answer that have come or are on their way
   AppendedAnswerScanner appended_;
-  std::size_t scanned_ = 0;  // bytes of the body held here that the scanner has seen
+  std::size_t scanned_ = 0;           // bytes of the body held here that the scanner has seen
+  std::vector<std::string> openIds_;  // of attempts here whose requests may be sent once more
   unsigned interim_ = 0;
   bool up_ = false;
   bool busy_ = false;
@@ -504,7 +515,7 @@
                        std::optional<Clock::duration> timeout) {
   const auto worker = workers_.find(target);
   Shared connection;
-  if (worker != workers_.end()) connection = takeIdle(worker->second);
+  if (worker != workers_.end()) connection = takeIdle(worker->second, message.id);
   if (!connection && worker != workers_.end() && makeRoom()) {
     connection = std::make_shared<Connection>(*this, target, worker->second.place.address);
     ++total_;
@@ -540,14 +551,18 @@
   return end;
 }
 
-WorkerPool::Shared WorkerPool::takeIdle(Worker& worker) {
-  while (!worker.idle.empty()) {
-    const Shared connection = worker.idle.back();
-    if (!connection->spoiled()) {
-      worker.idle.pop_back();
-      return connection;
+// The most recent one that is sound. One on which this request was answered before is left to others: a late
+// copy of that answer would bear the id of this attempt, too.
+WorkerPool::Shared WorkerPool::takeIdle(Worker& worker, const std::string& id) {
+  for (std::size_t left = worker.idle.size(); left > 0; --left) {
+    const Shared connection = worker.idle[left - 1];
+    if (connection->mayRepeat(id)) continue;
+    if (connection->spoiled()) {
+      drop(*connection);
+      continue;
     }
-    drop(*connection);
+    worker.idle.erase(worker.idle.begin() + static_cast<std::ptrdiff_t>(left - 1));
+    return connection;
   }
   return nullptr;
 }
--- a/src/node/worker_pool.hpp
+++ b/src/node/worker_pool.hpp
@@ -121,7 +121,7 @@
   };
 
   void endLost(irisring::WorkerId id, const Place& place);
-  Shared takeIdle(Worker& worker);
+  Shared takeIdle(Worker& worker, const std::string& id);
   bool makeRoom();
   void report(irisring::Outcome outcome);
   void finish(Connection& connection, AttemptEnd&& end);
--- a/tests/bodies_test.cpp
+++ b/tests/bodies_test.cpp
@@ -80,6 +80,28 @@
   }
 }
 
+// A client of HTTP/1.0 is told of the end by nothing else, so what is not whole never ends in order: whoever
+// ends it, this process by its own end too.
+TEST_F(Bodies, AnAnswerOnlyItsEndDelimitsForTheClientToIsResetUnlessItIsWhole) {
+  std::string old = Ask().text();
+  old.replace(old.find("HTTP/1.1"), 8, "HTTP/1.0");
+  const std::string head = "HTTP/1.1 200 OK\r\n\r\n";
+  for (const bool whole : {true, false}) {
+    client = dial(node->address());
+    const std::size_t before = worker.peers.size();
+    client->send(old);
+    until([&] { return worker.peers.size() > before && worker.peers[before]->has("\r\n\r\n"); }, "a request");
+    worker.peers[before]->sendLater(head + large.substr(0, 200000), whole);
+    until([&] { return client->has(large.substr(0, 100)); }, "its begin");
+    if (!whole) node.reset();
+    until([&] { return client->ended; }, "its end");
+    EXPECT_EQ(client->endedInOrder, whole);
+    if (whole) {
+      EXPECT_EQ(body(), large.substr(0, 200000));
+    }
+  }
+}
+
 // What the client takes is what is read of the worker: the rest waits there.
 TEST_F(Bodies, AClientThatDoesNotReadHoldsTheWorkerBack) {
   client->pause();
--- a/tests/loopback.hpp
+++ b/tests/loopback.hpp
@@ -26,6 +26,7 @@
   explicit Peer(tcp::socket socket) : socket_(std::move(socket)) {}
   std::string got;
   bool ended = false;
+  bool endedInOrder = false;  // by an end, not by a reset
 
   void read() {
     if (paused_) return;
@@ -33,7 +34,7 @@
                             [self = shared_from_this(), this](const Error& error, std::size_t n) {
                               got.append(piece_.data(), n);
                               if (error)
-                                ended = true;
+                                ended = true, endedInOrder = error == asio::error::eof;
                               else
                                 read();
                             });
--- a/tests/system/answers_test.cpp
+++ b/tests/system/answers_test.cpp
@@ -102,6 +102,31 @@
   EXPECT_EQ(ends[0].outcome.result, Result::spoilt);
 }
 
+// What turned a request away may do so twice. Sent once more, the request carries the same id, so it goes
+// where no late copy of that answer can come; others use the connection on.
+TEST_F(Answers, ARequestThatWasTurnedAwayIsNotAskedAgainOnTheSameConnection) {
+  const std::string away = reply("503 Full", "", "X-Not-Executed: 1\r\nX-Attempt-Id: a\r\n");
+  ask(1, "a");
+  worker.peers[0]->send(away);
+  untilEnds(1);
+  EXPECT_EQ(ends[0].outcome.result, Result::full);
+  ask(2, "a");
+  ASSERT_EQ(worker.peers.size(), 2u);
+  worker.peers[0]->send(away);
+  worker.peers[1]->send(seal("a", "mine"));
+  untilEnds(2);
+  EXPECT_EQ(ends[1].outcome.result, Result::ok);
+  EXPECT_EQ(ends[1].body, "mine");
+}
+
+TEST_F(Answers, AConnectionOnWhichOneWasTurnedAwayServesOthers) {
+  ask(1, "a");
+  worker.peers[0]->send(reply("503 Full", "", "X-Not-Executed: 1\r\nX-Attempt-Id: a\r\n"));
+  untilEnds(1);
+  ask(2, "b");
+  EXPECT_EQ(worker.peers.size(), 1u);
+}
+
 // The server answers and ends while the request is still being written: its own failure says that it has run.
 TEST_F(Answers, AnAnswerAheadOfTheWholeRequestCountsAlsoWhereTheRestCannotBeWritten) {
   const auto body = std::make_shared<const std::string>(32'000'000, 'b');
