Tell servers the time that is left at the first byte, and storm answers that only their connection's end delimits

X-Deadline-Remaining-Ms was worked out before the connection was up, up to 400 ms too high; the pool now writes it when it writes the head (TheTimeToldToAServerIsThatOfTheFirstByte).

AnswerStorm plays seven more things that a server may do: answers without a length whole, doubled at once, late, in part, large and reset.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -735,9 +735,9 @@
                             static_cast<unsigned>(held.route->type),
                             held.attempt,
                             std::chrono::steady_clock::now() + span(left),
+                            "X-Deadline-Remaining-Ms",
                             held.route->type != RouteType::nonIdempotent};
-  message.head += "X-Expected-Instance: " + names_[server] + "\r\nX-Deadline-Remaining-Ms: " +
-                  std::to_string(std::max(1L, std::lround(std::floor(left)))) + "\r\n\r\n";
+  message.head += "X-Expected-Instance: " + names_[server] + "\r\n";
   pool_.start(id, attempt, server, std::move(message), early ? std::optional(span(timeout)) : std::nullopt);
 }
 
--- a/src/node/worker_pool.cpp
+++ b/src/node/worker_pool.cpp
@@ -197,11 +197,22 @@
 
   void notUp(const Error& error) { end(isLocal(error) ? Result::moot : Result::connectFailed); }
 
+  // What a connection took to come up is gone from the time that the worker is told.
+  void endHead() {
+    if (out_.deadlineField.empty()) return;
+    const auto left = std::chrono::floor<std::chrono::milliseconds>(out_.notAfter - Clock::now()).count();
+    out_.head.append(out_.deadlineField)
+        .append(": ")
+        .append(std::to_string(std::max<std::int64_t>(1, left)))
+        .append("\r\n\r\n");
+  }
+
   // From here on the request may have run, unless the system tells that its last byte was not written: the
   // system takes it in within this call, however much later the handler runs. A worker may answer what it has
   // not read whole, and that it has run: so what has come is read before anything is said.
   void write() {
     arm(giveUpAt_);
+    endHead();
     written_ = writing_ = true;
     const std::string_view body = out_.body ? std::string_view(*out_.body) : std::string_view{};
     const std::array<asio::const_buffer, 2> all{asio::buffer(out_.head),
--- a/src/node/worker_pool.hpp
+++ b/src/node/worker_pool.hpp
@@ -9,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -62,6 +63,9 @@
   std::string id{};  // which the answer must carry back; empty: none
   // No byte is written from then on: a connection that comes up later finds nobody waiting for an answer.
   std::chrono::steady_clock::time_point notAfter = std::chrono::steady_clock::time_point::max();
+  // Not empty: the head ends with this field, which tells the ms that are left until `notAfter` when the
+  // first byte is written, and with the empty line.
+  std::string_view deadlineField{};
   bool repeatable = true;  // else an answer that pauses is awaited: no other worker may be asked
 };
 
--- a/tests/system/answer_storm.cpp
+++ b/tests/system/answer_storm.cpp
@@ -160,11 +160,53 @@
     }
     case Act::saysClose:
       return connection->send(head(sealedFields(id) + "Connection: close\r\n"));
+    case Act::endDelimited:
+    case Act::endDelimitedDoubled:
+    case Act::endDelimitedDoubledLate:
+    case Act::endDelimitedDoubledInPart:
+    case Act::endDelimitedReset:
+    case Act::endDelimitedLargeDoubled:
+    case Act::endDelimitedLargeReset:
+      return actEndDelimited(what, connection, id, draw);
     default:
       return connection->send(good);
   }
 }
 
+void AnswerStorm::actEndDelimited(Act what, const Connection& connection, const std::string& id,
+                                  std::mt19937& draw) {
+  const std::string small = endDelimited(id, bodyOf(id)), large = endDelimited(id, largeBodyOf(id));
+  const unsigned soon = draw() % 8;
+  const auto endLater = [&] { later(1 + soon, [connection] { connection->finish(); }); };
+  switch (what) {
+    case Act::endDelimitedDoubled:
+      connection->send(small + small);
+      return connection->finish();
+    case Act::endDelimitedDoubledLate:
+      connection->send(small);
+      later(soon, [connection, small] { connection->send(small); });
+      return later(soon + 1 + draw() % 4, [connection] { connection->finish(); });
+    case Act::endDelimitedDoubledInPart:
+      connection->send(small);
+      later(soon,
+            [connection, part = small.substr(0, 1 + draw() % small.size())] { connection->send(part); });
+      return later(soon + 1 + draw() % 4, [connection] { connection->finish(); });
+    case Act::endDelimitedReset:
+      connection->send(small.substr(0, 1 + draw() % (small.size() - 1)));
+      return later(1 + soon, [connection] { connection->reset(); });
+    case Act::endDelimitedLargeDoubled:
+      connection->send(large);
+      later(soon, [connection, large] { connection->send(large); });
+      return later(soon + 1 + draw() % 4, [connection] { connection->finish(); });
+    case Act::endDelimitedLargeReset:
+      connection->send(large.substr(0, 66000 + draw() % 20000));
+      return later(2 + soon, [connection] { connection->reset(); });
+    default:
+      connection->send(draw() % 2 ? small : large);
+      return endLater();
+  }
+}
+
 // --- clients
 
 void AnswerStorm::plan(std::size_t clients, std::size_t requests) {
--- a/tests/system/answer_storm.hpp
+++ b/tests/system/answer_storm.hpp
@@ -80,7 +80,14 @@
     largeCut,
     largeReset,
     saysClose,
-    last = saysClose
+    endDelimited,
+    endDelimitedDoubled,
+    endDelimitedDoubledLate,
+    endDelimitedDoubledInPart,
+    endDelimitedReset,
+    endDelimitedLargeDoubled,
+    endDelimitedLargeReset,
+    last = endDelimitedLargeReset
   };
   struct Client {
     std::shared_ptr<ClientConnection> connection;
@@ -115,6 +122,13 @@
     return out;
   }
 
+  // Without a length: its connection's end is its end.
+  std::string endDelimited(const std::string& id, const std::string& body) {
+    servers_[id].statuses.insert(200);
+    return "HTTP/1.1 200 OK\r\n" + sealedFields(id) + "\r\n" + body;
+  }
+  void actEndDelimited(Act what, const Connection& connection, const std::string& id, std::mt19937& draw);
+
   // --- clients
   void plan(std::size_t clients, std::size_t requests);
   void send(Client& client);
--- a/tests/system/answers_test.cpp
+++ b/tests/system/answers_test.cpp
@@ -243,6 +243,21 @@
   EXPECT_EQ(ends[0].body, "HTTP is whole");
 }
 
+// A server is told what is left when the request is written, not when its connection was begun.
+TEST_F(Answers, TheTimeToldToAServerIsThatOfTheFirstByte) {
+  Message message{"GET / HTTP/1.1\r\nX-Attempt-Id: a\r\n", nullptr, 0, "a"};
+  message.notAfter = std::chrono::steady_clock::now() + std::chrono::milliseconds(5000);
+  message.deadlineField = "X-Deadline-Remaining-Ms";
+  byId->start(1, 0, 1, message, std::nullopt);
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  untilSeen(1);
+  const std::string& got = worker.peers[0]->got;
+  const auto field = got.find("X-Deadline-Remaining-Ms: ");
+  ASSERT_NE(field, std::string::npos) << got;
+  EXPECT_LE(std::stoi(got.substr(field + 25)), 4900);
+  EXPECT_GT(std::stoi(got.substr(field + 25)), 1000);
+}
+
 // The process stood still while the connection came up: nobody waits for an answer any more.
 TEST_F(Answers, WhatHasRunOutOfTimeBeforeItsConnectionIsUpIsNotSent) {
   byId->start(1, 0, 1, {"GET / HTTP/1.1\r\n\r\n", nullptr, 0, "a"}, std::chrono::milliseconds(2));
--- a/tests/system/gateway_world.hpp
+++ b/tests/system/gateway_world.hpp
@@ -232,8 +232,9 @@
     settings.zone = "zone";
     settings.firstPort = settings.lastPort = control_->address().port();
     settings.seeds = {control_->address()};
-    settings.frontend = tcp::endpoint(address, freePort(address));
-    settings.readiness = tcp::endpoint(address, freePort(address));
+    const auto [frontPort, readinessPort] = freePorts(address);
+    settings.frontend = tcp::endpoint(address, frontPort);
+    settings.readiness = tcp::endpoint(address, readinessPort);
     front = *settings.frontend;
     gateway.emplace(io, settings, [](const std::string&) {});
   }
@@ -279,9 +280,10 @@
     return asio::ip::make_address("127." + std::to_string(1 + id / 256 % 250) + "." +
                                   std::to_string(id % 256) + ".21");
   }
-  unsigned short freePort(const asio::ip::address& address) {
-    tcp::acceptor any(io, tcp::endpoint(address, 0));
-    return any.local_endpoint().port();
+  // Held at one time, so that they are two.
+  std::pair<unsigned short, unsigned short> freePorts(const asio::ip::address& address) {
+    const tcp::acceptor one(io, tcp::endpoint(address, 0)), other(io, tcp::endpoint(address, 0));
+    return {one.local_endpoint().port(), other.local_endpoint().port()};
   }
   void follow(const Frame& frame, const FrameServer::Reply& reply) {
     const auto call = followCallOf(frame);
