Test over real sockets that all find the core by one without a disk, and that a disk may fail at the start

The simulation of discovery copies what ControlNode and Follower do around their cores; these tests play the real ones: settings that name only a process without a disk which names itself alone, seeds told anew while a gateway runs, a data directory that cannot be used at first.

--- a/tests/bench/hunt_days.sh
+++ b/tests/bench/hunt_days.sh
@@ -7,6 +7,7 @@
 bench=$1 site=$2 folder=$3 seed=$4 count=$5 parallel=${6:-3}
 program=${LILACMUX:-target/lilacmux}
 mkdir -p "$folder"
+"$bench" build >"$folder/build.txt" 2>&1
 "$bench" kinds "$site" >"$folder/kinds.txt"
 # shellcheck disable=SC2086
 "$program" experiment days "$site" "$folder" --kinds "$folder/kinds.txt" --seed "$seed" --count "$count" ${DAY_OPTIONS:-} >"$folder/days.txt"
--- a/tests/system/core_test.cpp
+++ b/tests/system/core_test.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/connect.hpp>
 #include <boost/asio/write.hpp>
 #include <filesystem>
+#include <fstream>
 #include <nlohmann/json.hpp>
 #include <set>
 
@@ -101,6 +102,15 @@
     out.platformRatePerS = 100;
     return out;
   }
+  // A further control process, which keeps nothing.
+  NodeSettings withoutDisk() {
+    NodeSettings out = settings(0, false);
+    out.name = "without";
+    out.address = ownAddress(14);
+    out.controlPlane = tcp::endpoint(asio::ip::make_address(out.address), controlPort_);
+    out.dataDirectory.reset();
+    return out;
+  }
   unsigned short frontPort() {
     if (frontPort_ == 0) frontPort_ = freePorts(io, addresses_);
     return frontPort_;
@@ -193,10 +203,11 @@
   CallServer::Call seen;
   unsigned arrivals = 0, status = 200;
 
- private:
   static void silent(const std::string&) {}
-  const std::vector<std::string> addresses_{ownAddress(11), ownAddress(12), ownAddress(13)};
   const std::filesystem::path folder_;
+
+ private:
+  const std::vector<std::string> addresses_{ownAddress(11), ownAddress(12), ownAddress(13)};
   unsigned short port_ = 0, controlPort_ = 0, frontPort_ = 0;
   std::optional<CallServer> platform_, server_;
 };
@@ -347,5 +358,52 @@
   for (const int told : late) EXPECT_EQ(told, 503);
 }
 
+// After a loss of power all settings name one process without a disk, and that one names itself alone: the
+// members tell it where they are, and it tells the gateway.
+TEST_F(Core, AllFindTheCoreWhereSettingsNameOnlyOneWithoutADisk) {
+  ASSERT_EQ(replace(configuration(2, "k"), 0), 200u);
+  gateway.reset();
+  nodes.clear();
+  const auto turned = [&](NodeSettings settings) {
+    settings.seeds = {withoutDisk().controlPlane.value()};
+    return settings;
+  };
+  auto diskless = std::make_unique<ControlNode>(io, turned(withoutDisk()), silent);
+  gateway = std::make_unique<Gateway>(io, turned(settings(0, false)), silent);
+  for (std::size_t i = 0; i < 3; ++i)
+    nodes.push_back(std::make_unique<ControlNode>(io, turned(settings(i, false)), silent));
+  until([&] { return gateway->ready(); }, "the gateway follows");
+  const std::string got = exchange(withoutDisk().controlPlane.value(),
+                                   "GET /api/Configuration.Describe HTTP/1.1\r\nHost: a\r\n\r\n");
+  EXPECT_TRUE(has(got, "HTTP/1.1 307")) << got;
+}
+
+TEST_F(Core, NewSeedsAreTakenUpWhileItRuns) {
+  ASSERT_EQ(replace(configuration(2, "k"), 0), 200u);
+  gateway.reset();
+  NodeSettings lost = settings(0, false), found = lost;
+  lost.seeds = {withoutDisk().controlPlane.value()};  // nobody listens there
+  gateway = std::make_unique<Gateway>(io, lost, silent);
+  io.restart();
+  io.run_for(300ms);
+  EXPECT_FALSE(gateway->ready());
+  gateway->reload(found);
+  until([&] { return gateway->ready(); }, "the gateway follows");
+}
+
+// A disk that cannot be used at the start does not end the process.
+TEST_F(Core, OneWhoseDiskFailsAtItsStartServesAsOneWithoutUntilItWorks) {
+  NodeSettings settings = withoutDisk();
+  settings.dataDirectory = folder_ / "late";
+  std::ofstream(*settings.dataDirectory) << "a file where a folder is to be";
+  const ControlNode node(io, settings, silent);
+  const auto told = [&] {
+    return exchange(*settings.controlPlane, "GET /api/status HTTP/1.1\r\nHost: a\r\n\r\n");
+  };
+  EXPECT_TRUE(has(told(), "without a disk"));
+  std::filesystem::remove(*settings.dataDirectory);
+  until([&] { return has(told(), "observer"); }, "its disk is in use");
+}
+
 }  // namespace
 }  // namespace lilacmux::test
