Shorten the lease by what the list of servers is too old by

A gatekeeper that hears no more serves for 4.2 s after the primary was asked; the list that the answer rested on is read in pages, 17 of them at 809 servers, paced by the platform's rate, and told at the end of a round, so it may be older than the 0.8 s that were left. The time of a round grows with the servers; the sum of both was never reckoned.

Change: PlatformWatch knows as of when its list is; what is older than `drainTimeoutMs` less the lease allows goes down with the answers (`listAge`, an old build ignores it) and comes off each gatekeeper's lease.

Tests: PlatformWatch.ALeaseEndsBefore..., PlatformWatch.KnowsWhatStood..., CatchUp.AnOldList..., Relays.TellTheAge....

--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -2,6 +2,7 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <chrono>
 
@@ -17,6 +18,8 @@
 
 constexpr auto kTick = 100ms;
 constexpr Millis kRecoverEvery = 1000;
+constexpr Millis kDrainMargin = 150;      // of the bound on drains, for what is on its way
+constexpr Millis kMostListAge = 1500;     // a platform that is slower yet is in trouble itself
 constexpr Millis kRememberEvery = 10000;  // at most, what is known of peers
 constexpr auto kLeaveAfter = 350ms;  // what was said last goes out, and each gatekeeper has asked once more
 constexpr std::size_t kMostConfiguration = 8 << 20;
@@ -340,6 +343,7 @@
     boost::asio::post(io_, [this] { pump(); });
   }
   lead_->feed(now(), call, named, out);
+  if (watch_) out.listAgeMs = excessListAge(now(), watch_->listAsOf(), settings_.bounds);
   return out;
 }
 
--- a/src/fleet/follower_state.cpp
+++ b/src/fleet/follower_state.cpp
@@ -14,7 +14,7 @@
   // What a relay tells is as old as its own call to the primary. Where the configuration in force here is
   // older than the one that the relay knows of, as one that could not be read, nothing is known to be in its
   // favour.
-  const Millis askedAt = sentAt - answer.ageMs;
+  const Millis askedAt = sentAt - answer.ageMs - answer.listAgeMs;
   if (revision > 0 && revision >= news.revision) leaseUntil_ = std::max(leaseUntil_, askedAt + lease_);
   return out;
 }
--- a/src/fleet/follower_state.hpp
+++ b/src/fleet/follower_state.hpp
@@ -15,7 +15,8 @@
  public:
   using Millis = double;
 
-  // A lease lasts for `lease` ms from the moment at which the primary was asked for what the state rests on.
+  // A lease lasts for `lease` ms from the moment at which the primary was asked for what the state rests on,
+  // less what its list of servers was too old by.
   explicit FollowerState(Millis lease) : lease_(lease) {}
 
   struct Update {
--- a/src/fleet/platform.cpp
+++ b/src/fleet/platform.cpp
@@ -4,6 +4,8 @@
 #include <nlohmann/json.hpp>
 #include <set>
 
+#include "net/steady.hpp"
+
 namespace lilacmux {
 namespace {
 
@@ -15,6 +17,8 @@
 constexpr auto kMostPause = 2000ms;
 constexpr unsigned kMostPages = 200;
 constexpr unsigned kEmptyBelieved = 4;  // rounds in a row that say that there is no server at all
+constexpr double kDrainMargin = 150;    // ms of the bound on drains, for what is on its way
+constexpr double kMostListAge = 1500;   // ms; a platform that is slower yet is in trouble itself
 constexpr double kPartOfRate = 0.5;     // of what the platform takes from all callers
 
 std::string encoded(const std::string& token) {
@@ -59,6 +63,13 @@
   }
 }
 
+double excessListAge(double now, std::optional<double> asOf, const Bounds& bounds) {
+  const double spare = bounds.drainTimeoutMs - bounds.servingLease() - kDrainMargin;
+  if (!bounds.revocationGlobal || spare < 0) return 0;
+  if (!asOf) return kMostListAge;
+  return std::clamp(now - *asOf - spare, 0.0, kMostListAge);
+}
+
 PlatformWatch::PlatformWatch(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& address,
                              double ratePerS, Told told, Log log)
     : fetcher_(io, address),
@@ -83,6 +94,7 @@
 void PlatformWatch::round() {
   gathered_.clear();
   pages_ = 0;
+  roundBeganAt_ = steadyMs();
   page("");
 }
 
@@ -103,12 +115,15 @@
     if (gathered_.empty() && had_ > 0 && ++emptyRounds_ < kEmptyBelieved) return again(kEvery);
     emptyRounds_ = 0;
     had_ = gathered_.size();
+    listAsOf_ = roundBeganAt_;
     told_(gathered_);
     again(kEvery);
   });
 }
 
+// While the platform does not answer, nobody can know who leaves. Where it refuses, it was asked too often.
 void PlatformWatch::failed(const std::string& why, bool refused) {
+  if (!refused) listAsOf_ = steadyMs();
   if (failures_++ == 0) log_("the platform's list did not come (" + why + "): the one before stays");
   const auto pause = kEvery * std::min(failures_, 4u);
   again(std::min<std::chrono::milliseconds>(refused ? 2 * pause : pause, kMostPause));
--- a/src/fleet/platform.hpp
+++ b/src/fleet/platform.hpp
@@ -12,6 +12,7 @@
 
 #include "fleet/change_log.hpp"
 #include "net/fetch.hpp"
+#include "settings/settings.hpp"
 
 namespace lilacmux {
 
@@ -23,6 +24,12 @@
 // The page, or what is wrong with it.
 std::variant<ListPage, std::string> parsePage(std::string_view messagePack);
 
+// How much older the list is than a gatekeeper's lease allows for, ms. Who hears of it no more serves on for
+// that lease (`servingLease`), and must not send to a server for longer than `drainTimeoutMs` after the
+// platform has shown it to leave. Reading the list takes the longer the more servers there are. `asOf`: as
+// PlatformWatch has it. From 0, where the lease is the stricter bound or there is none, to 1,500.
+double excessListAge(double now, std::optional<double> asOf, const Bounds& bounds);
+
 class PlatformWatch {
  public:
   using Told = std::function<void(const std::vector<Instance>&)>;
@@ -34,6 +41,10 @@
   PlatformWatch(const PlatformWatch&) = delete;
   PlatformWatch& operator=(const PlatformWatch&) = delete;
 
+  // Whatever the platform has shown until then is known, ms of the steady clock: when the last round began
+  // that came whole, or when the platform failed to answer last. Nothing: neither has been yet.
+  std::optional<double> listAsOf() const { return listAsOf_; }
+
  private:
   void round();
   void page(const std::string& token);
@@ -52,6 +63,8 @@
   unsigned emptyRounds_ = 0;
   unsigned failures_ = 0;  // rounds in a row
   unsigned pages_ = 0;
+  double roundBeganAt_ = 0;
+  std::optional<double> listAsOf_;
   // A timer that has run out before this one goes calls its handler afterwards, and without an error.
   const std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/fleet/relay.cpp
+++ b/src/fleet/relay.cpp
@@ -60,6 +60,7 @@
   if (now - heardAt_ > kStale || log_.epoch() == 0) return out;
   out.epoch = log_.epoch();
   out.ageMs = now - heardAt_;
+  out.listAgeMs = listAge_;
   out.news = log_.since(call.epoch, call.place, call.revision);
   out.gatekeepers = fleet_;
   if (call.relays != relaysAre_) {
@@ -119,6 +120,7 @@
   if (answer.epoch < log_.epoch()) return;  // who leads there no longer does
   log_.follow(answer.epoch, answer.news);
   fleet_ = answer.gatekeepers;
+  listAge_ = answer.listAgeMs;
   if (!answer.relays.empty()) {
     relays_ = answer.relays;
     relaysAre_ = answer.relaysAre;
--- a/src/fleet/relay.hpp
+++ b/src/fleet/relay.hpp
@@ -59,6 +59,7 @@
   std::uint64_t relaysAre_ = 0;
   std::size_t fleet_ = 0;
   bool leaving_ = false;
+  Millis listAge_ = 0;      // as the primary told it: how much older than allowed its list of servers is
   Millis heardAt_ = -1e18;  // when the call was sent that was answered last
 };
 
--- a/src/fleet/wire.cpp
+++ b/src/fleet/wire.cpp
@@ -117,6 +117,7 @@
               {"fleet", a.gatekeepers}, {"age", std::llround(std::ceil(a.ageMs))},
               {"grant", a.grant}};
   if (!a.known) out.head["unknown"] = true;
+  if (a.listAgeMs > 0) out.head["listAge"] = std::llround(std::ceil(a.listAgeMs));
   if (!a.core.members.empty()) {
     out.head["core"] = a.core.members;
     out.head["coreEpoch"] = a.core.epoch;
@@ -160,6 +161,7 @@
     in.at("revision").get_to(out.news.revision);
     in.at("fleet").get_to(out.gatekeepers);
     in.at("age").get_to(out.ageMs);
+    out.listAgeMs = in.value("listAge", 0.0);
     in.at("grant").get_to(out.grant);
     out.known = !in.contains("unknown");
     if (in.contains("set")) {
--- a/src/fleet/wire.hpp
+++ b/src/fleet/wire.hpp
@@ -43,6 +43,7 @@
   std::string leader;       // not empty: ask there
   std::uint64_t epoch = 0;  // 0: ask elsewhere
   double ageMs = 0;         // how long ago the primary was asked for what this tells
+  double listAgeMs = 0;     // by how much its list of servers is older than a gatekeeper's lease allows for
   ChangeLog::News news;
   std::size_t gatekeepers = 0;
   bool known = true;  // else all that is held must be told before anything is lent
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -17,7 +17,6 @@
 using namespace std::chrono_literals;
 using burlwind::AttemptEnd;
 
-constexpr double kRevocationKept = 800;      // ms of the bound on taken keys that are not used
 constexpr std::size_t kSparedSockets = 240;  // the bench's and the program's own
 constexpr std::size_t kAhead = 16;           // requests of one client held at once, beside the next
 constexpr unsigned kOwnMegabytes = 40;
@@ -83,7 +82,7 @@
       pool_(io, poolLimits(settings, inwards_), budget_, figures_, answers_, *this,
             [this](AttemptEnd&& end) { ended(std::move(end)); }),
       server_(io, *settings.frontend, clientLimits(settings, {}, outwards_), budget_, figures_, *this),
-      followed_(settings.bounds.revocationMs - kRevocationKept),
+      followed_(settings.bounds.servingLease()),
       random_(std::hash<std::string>{}(settings.name)),
       drain_(io),
       sweep_(io) {
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -29,6 +29,10 @@
   double quotaSlack = 0;
   double retryBudgetRatio = 0;  // of a service's requests; with no slack either: no budget
   double retryBudgetSlack = 0;
+
+  // How long a gatekeeper may serve after the primary was asked for what it goes by, where keys must end
+  // everywhere; 800 ms of the bound are left for what is under way.
+  double servingLease() const { return revocationMs - 800; }
 };
 
 struct NodeSettings {
--- a/tests/system/catch_up_test.cpp
+++ b/tests/system/catch_up_test.cpp
@@ -200,6 +200,18 @@
   EXPECT_DOUBLE_EQ(state.leaseLeft(3000), kLease - 200) << "by an older primary";
 }
 
+// Who was told an old list must not rely on it for as long.
+TEST(CatchUp, AnOldListShortensTheLease) {
+  FollowerState state(kLease);
+  FollowAnswer told;
+  told.epoch = kEpoch;
+  told.ageMs = 200;
+  told.listAgeMs = 700;
+  told.news.revision = 7;
+  state.take(told, 1000, 7);
+  EXPECT_DOUBLE_EQ(state.leaseLeft(1000), kLease - 900);
+}
+
 nlohmann::json routes(std::size_t count) {
   nlohmann::json out = nlohmann::json::array();
   for (std::size_t i = 0; i < count; ++i)
--- a/tests/system/fleet_test.cpp
+++ b/tests/system/fleet_test.cpp
@@ -102,8 +102,11 @@
   EXPECT_EQ(relay.follow(0, call).epoch, 0u) << "it has heard nothing yet";
   FollowAnswer word;
   word.epoch = 5 << 20;
+  word.listAgeMs = 400;
   relay.news(100, word, 90);
   const auto answer = relay.follow(300, call);
+  EXPECT_DOUBLE_EQ(answer.listAgeMs, 400);
+  EXPECT_DOUBLE_EQ(followAnswerOf(toFrame(answer))->listAgeMs, 400);
   EXPECT_EQ(answer.epoch, word.epoch);
   EXPECT_DOUBLE_EQ(answer.ageMs, 210);
   EXPECT_EQ(relay.follow(2200, call).epoch, 0u);
--- a/tests/system/platform_test.cpp
+++ b/tests/system/platform_test.cpp
@@ -10,6 +10,9 @@
 #include <memory>
 #include <thread>
 
+#include "net/call_server.hpp"
+#include "net/steady.hpp"
+
 namespace lilacmux::test {
 namespace {
 
@@ -38,5 +41,50 @@
   EXPECT_EQ(lines, 1u);
 }
 
+TEST(PlatformWatch, KnowsWhatStoodOnTheListWhenItsLastWholeRoundBegan) {
+  boost::asio::io_context io(1);
+  bool fails = false;
+  std::vector<double> asked;
+  burlwind::CallServer platform(
+      io, {boost::asio::ip::address_v4::loopback(), 0}, {}, [&](auto&& call, const auto& respond) {
+        const bool isFirst = call.target() == "/instances";
+        if (isFirst) asked.push_back(steadyMs());
+        const nlohmann::json page = {{"instances", nlohmann::json::array()},
+                                     {"nextPageToken", isFirst ? nlohmann::json("2") : nlohmann::json()}};
+        const auto bytes = nlohmann::json::to_msgpack(page);
+        using burlwind::http::status;
+        respond(burlwind::callReply(fails ? status::service_unavailable : status::ok,
+                                    std::string(bytes.begin(), bytes.end()), "application/msgpack"));
+      });
+  unsigned rounds = 0, lines = 0;
+  const PlatformWatch watch(
+      io, platform.address(), 100, [&](const std::vector<Instance>&) { ++rounds; },
+      [&](const std::string&) { ++lines; });
+  EXPECT_EQ(watch.listAsOf(), std::nullopt);
+  while (rounds == 0) io.run_one();
+  ASSERT_EQ(asked.size(), 1u);
+  EXPECT_LE(*watch.listAsOf(), asked[0]) << "what its first page has shown may be older than the last";
+  EXPECT_GE(*watch.listAsOf(), asked[0] - 500);
+  fails = true;
+  while (lines == 0) io.run_one();
+  EXPECT_GE(*watch.listAsOf(), asked[1]) << "while it does not answer nobody can know";
+}
+
+// Whoever hears no more right after an answer serves until its lease ends, which is before the bound on
+// drains has run out for any server that the list behind that answer did not show to leave.
+TEST(PlatformWatch, ALeaseEndsBeforeADrainThatTheListDidNotShowMustBeKnown) {
+  Bounds bounds;
+  bounds.revocationGlobal = true;
+  bounds.drainTimeoutMs = 5000;
+  for (const double age : {0.0, 300.0, 650.0, 1000.0, 1700.0, 2100.0}) {
+    const double listedAt = 10000, askedAt = listedAt + age;
+    const double servesUntil = askedAt - excessListAge(askedAt, listedAt, bounds) + bounds.servingLease();
+    EXPECT_LE(servesUntil, listedAt + bounds.drainTimeoutMs) << age;
+  }
+  EXPECT_GT(excessListAge(10000, std::nullopt, bounds), 1000) << "a new primary has not read it yet";
+  bounds.drainTimeoutMs = 3000;  // shorter than the lease: it binds only whoever is in touch
+  EXPECT_EQ(excessListAge(12000, 10000, bounds), 0);
+}
+
 }  // namespace
 }  // namespace lilacmux::test
