Read the file of peers once at a start, and drop two constants that went to the platform's watch

The control node read control-peers.json twice while it was constructed, once for its directory and once to know what the file holds; it is read once now. kDrainMargin and kMostListAge had stayed in node.cpp, unused, when the list's age moved to fleet/platform.cpp. Behaviour is as before.

Measured: it builds with warnings as errors, the linter is clean on node.cpp, the 21 tests of Core, Discovery, Directories and PeerFile pass.

--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -2,7 +2,6 @@
 
 #include <unistd.h>
 
-#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <chrono>
 
@@ -18,8 +17,6 @@
 
 constexpr auto kTick = 100ms;
 constexpr Millis kRecoverEvery = 1000;
-constexpr Millis kDrainMargin = 150;      // of the bound on drains, for what is on its way
-constexpr Millis kMostListAge = 1500;     // a platform that is slower yet is in trouble itself
 constexpr Millis kRememberEvery = 10000;  // at most, what is known of peers
 constexpr auto kLeaveAfter = 350ms;  // what was said last goes out, and each gatekeeper has asked once more
 constexpr std::size_t kMostConfiguration = 8 << 20;
@@ -69,9 +66,9 @@
       log_(std::move(log)),
       self_(settings.address + ":" + std::to_string(controlPort(settings))),
       bootstrap_(settings.bootstrap),
-      directory_(self_, seedsOf(settings), rememberedPeers(settings), {}),
-      announcer_(io, directory_),
       remembered_(rememberedPeers(settings)),
+      directory_(self_, seedsOf(settings), remembered_, {}),
+      announcer_(io, directory_),
       members_(io),
       relay_(settings.name, {self_, settings.zone}, newLife(), now()),
       tick_(io),
--- a/src/control/node.hpp
+++ b/src/control/node.hpp
@@ -87,9 +87,10 @@
   std::optional<Store> store_;
   bool bootstrap_;  // until the store has been opened once
   Millis recoverAt_ = 0;
+  std::vector<NodeId> remembered_;  // peers, as the file has them
   PeerDirectory directory_;
   Announcer announcer_;
-  std::vector<NodeId> contacts_, remembered_;  // as the replica was told, as the file has them
+  std::vector<NodeId> contacts_;  // as the replica was told
   Millis rememberAt_ = 0;
   MemberLinks members_;
   std::unique_ptr<Replica> replica_;      // none without a disk
