Give tests ports that the system hands out to nobody else

Cause: the test took ports that the system had picked and closed them before their use, one pair after another, so two pairs could overlap, and a connection of the same process could take one in between.

--- a/tests/system/core_test.cpp
+++ b/tests/system/core_test.cpp
@@ -12,6 +12,7 @@
 
 #include "control/node.hpp"
 #include "gateway/gateway.hpp"
+#include "own_address.hpp"
 
 namespace lilacmux::test {
 namespace {
@@ -28,38 +29,12 @@
   return {bytes.begin(), bytes.end()};
 }
 
-// A loopback address that no other test process uses, so that ports found free stay so.
-std::string ownAddress(int last) {
-  const int id = getpid();
-  return "127." + std::to_string(1 + id / 256 % 250) + "." + std::to_string(id % 256) + "." +
-         std::to_string(last);
-}
-
-// Two ports in a row that are free on these addresses.
-unsigned short freePorts(asio::io_context& io, const std::vector<std::string>& addresses) {
-  for (int tries = 0; tries < 200; ++tries) {
-    tcp::acceptor any(io, tcp::endpoint(asio::ip::make_address(addresses.front()), 0));
-    const auto port = any.local_endpoint().port();
-    any.close();
-    bool free = port < 65000;
-    for (const std::string& address : addresses)
-      for (unsigned short p = port; free && p < port + 2; ++p) {
-        tcp::acceptor probe(io, tcp::v4());
-        boost::system::error_code error;
-        probe.bind({asio::ip::make_address(address), p}, error);
-        free = !error;
-      }
-    if (free) return port;
-  }
-  throw std::runtime_error("no free ports");
-}
-
 class Core : public testing::Test {
  protected:
   Core() : folder_(std::filesystem::temp_directory_path() / ("lilacmux-core-" + std::to_string(getpid()))) {
     std::filesystem::remove_all(folder_);
-    port_ = freePorts(io, addresses_);
-    controlPort_ = freePorts(io, addresses_);
+    port_ = ports_.take(2);
+    controlPort_ = ports_.take();
     platform_.emplace(io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0), CallServer::Limits{},
                       [this](CallServer::Call&&, const CallServer::Respond& respond) {
                         respond(callReply(burlwind::http::status::ok, pack(list()), "application/msgpack"));
@@ -112,7 +87,7 @@
     return out;
   }
   unsigned short frontPort() {
-    if (frontPort_ == 0) frontPort_ = freePorts(io, addresses_);
+    if (frontPort_ == 0) frontPort_ = ports_.take();
     return frontPort_;
   }
 
@@ -208,6 +183,7 @@
 
  private:
   const std::vector<std::string> addresses_{ownAddress(11), ownAddress(12), ownAddress(13)};
+  FreePorts ports_{io, {ownAddress(11), ownAddress(12), ownAddress(13), ownAddress(14)}};
   unsigned short port_ = 0, controlPort_ = 0, frontPort_ = 0;
   std::optional<CallServer> platform_, server_;
 };
