Renew no lease on a list of servers that the new primary has not read, and go on from the list that it followed

Cause: a primary that had just taken over renewed gatekeepers' leases before it had read the platform's list, taking the list for at most 1.5 s too old. While primaries followed each other faster than the list was read, a gatekeeper went on sending to servers that had been leaving for any length of time (a leaving missed after a control process came straight back). An answer now says that the list's age is unknown, and renews nothing. The age of a list is a core of its own: time during which the platform is slow or away does not count, what had passed before does (a failure set it to now). The cap of 1.5 s on what an old list takes off a lease is gone, 0.7 s of a lease are left.

Every new primary sent every server to every gatekeeper anew. A take-over costs a gatekeeper what has changed.

PlatformWatch.KnowsWhatStoodOnTheList... asked that a failure make the list as new as the failure, which is the fault: it now asks that it does not. The world of followers compared places of different epochs, which said nothing: it compares positions.

--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -118,14 +118,14 @@
             out.name = settings_.name + "/control";
             out.zone = settings_.zone;
             out.whole = what == ShareTell::whole;
-            out.epoch = seen_.epoch, out.place = seen_.news.place, out.revision = seen_.news.revision;
+            out.at = seen_.at;
+            out.revision = seen_.revision;
             out.relays = out.whole ? 0 : seen_.relaysAre;
             return out;
           },
           [this](const FollowAnswer& answer, double) {
-            seen_.epoch = answer.epoch;
-            seen_.news.place = answer.news.place;
-            seen_.news.revision = answer.news.revision;
+            if (answer.news.listed) seen_.at = {answer.epoch, answer.news.place};
+            seen_.revision = answer.news.revision;
             if (answer.relays.empty()) return;
             seen_.relaysAre = answer.relaysAre;
             seen_.relays = answer.relays;
@@ -246,7 +246,7 @@
   if (!lead_) {
     ++turns_;
     const Bounds& bounds = settings_.bounds;
-    lead_ = std::make_unique<Primary>(now(), replica_->epoch(), state.holders,
+    lead_ = std::make_unique<Primary>(now(), replica_->epoch(), relay_.log(), state.holders,
                                       QuotaRule{bounds.quotaWindowS, bounds.quotaOverage, bounds.quotaSlack},
                                       RetryRule{bounds.retryBudgetRatio, bounds.retryBudgetSlack});
     watchPlatform();
--- a/src/control/node.hpp
+++ b/src/control/node.hpp
@@ -44,6 +44,13 @@
  private:
   using Call = burlwind::CallServer::Call;
   using Respond = burlwind::CallServer::Respond;
+  // Which relays there are, as one without a disk was told, and how far it was told.
+  struct RelaysSeen {
+    ListPosition at;
+    std::uint64_t revision = 0;
+    std::uint64_t relaysAre = 0;
+    std::vector<RelayPlace> relays;
+  };
 
   // ReplicaHost
   void send(const NodeId& to, const Message& message) override;
@@ -99,7 +106,7 @@
   Relay relay_;
   std::unique_ptr<Follower> follower_;     // the relay's, of the primary
   std::optional<std::uint64_t> coreTold_;  // to it: the epoch of the view
-  FollowAnswer seen_;                      // without a disk: which relays there are, and how far it was told
+  RelaysSeen seen_;                        // without a disk
   ConfigurationService changes_;
   std::set<std::string> joining_;  // relays to be named as holders of shares
   boost::asio::steady_timer tick_, leave_;
--- a/src/experiment/capacity.cpp
+++ b/src/experiment/capacity.cpp
@@ -258,9 +258,8 @@
   add("change log: memory", "MB", static_cast<double>(allocatedBytes() - before) / kMegabyte);
   add("change log: a list without a change", "ms", medianProcessorMs(kRuns, [&] { log.servers(servers); }));
   ChangeLog::News news;
-  add("change log: making a snapshot", "ms", medianProcessorMs(kRuns, [&] { news = log.since(0, 0, 0); }));
-  add("change log: nothing new", "ms",
-      medianProcessorMs(kRuns, [&] { log.since(log.epoch(), log.place(), 0); }));
+  add("change log: making a snapshot", "ms", medianProcessorMs(kRuns, [&] { news = log.since({}, 0); }));
+  add("change log: nothing new", "ms", medianProcessorMs(kRuns, [&] { log.since(log.position(), 0); }));
   FollowAnswer answer;
   answer.epoch = 1;
   answer.news = news;
@@ -295,10 +294,10 @@
   const auto size = static_cast<double>(tenants);
   FollowCall call;
   call.name = "edge-halle-gaswerk-1", call.zone = "halle-gaswerk";
-  call.epoch = 3 << 20, call.place = 1000, call.revision = 1000, call.relays = ~std::uint64_t{0};
+  call.at = {3 << 20, 1000}, call.revision = 1000, call.relays = ~std::uint64_t{0};
   call.demands = exampleDemands(0, tenants, tenants);
   FollowAnswer answer;
-  answer.epoch = call.epoch, answer.news.place = call.place, answer.news.revision = call.revision;
+  answer.epoch = call.at.epoch, answer.news.place = call.at.place, answer.news.revision = call.revision;
   answer.gatekeepers = 2000, answer.ageMs = 120, answer.grant = 1ULL << 32;
   for (const ShareDemand& demand : call.demands) answer.grants.push_back({demand.tenant, 2, 1.234, false});
   std::string asked = encode(toFrame(call)), told = encode(toFrame(answer));
--- a/src/experiment/fleet.cpp
+++ b/src/experiment/fleet.cpp
@@ -122,7 +122,8 @@
     bool known = false, out = false;
     FollowPace pace;
     std::uint64_t turn = 0;
-    std::uint64_t epoch = 0, place = 0, revision = 0, relaysAre = 0;
+    ListPosition at;
+    std::uint64_t epoch = 0, revision = 0, relaysAre = 0;
     Millis linkFreeAt = 0;
     FleetFigures::Cost cost;
   };
@@ -140,7 +141,9 @@
 
   void lead(std::uint64_t round) {
     noPrimary_ = false;
-    primary_.emplace(now_, (round + 1) << 20, named_, rule_, RetryRule{});
+    // Whoever takes over is the process of one of the relays.
+    const ChangeLog followed = relays_.empty() ? ChangeLog() : relays_.front()->core->log();
+    primary_.emplace(now_, (round + 1) << 20, followed, named_, rule_, RetryRule{});
     configure();
     std::vector<Instance> servers;
     const unsigned count = plan_.servers > 0 ? plan_.servers : 3 * plan_.gatekeepers;
@@ -248,7 +251,7 @@
     FollowCall call;
     call.name = node.name;
     call.zone = node.zone;
-    call.epoch = node.epoch, call.place = node.place, call.revision = node.revision;
+    call.at = node.at, call.revision = node.revision;
     call.relays = node.relaysAre;
     const ShareTell what = node.pace.ask(now_, node.known);
     call.whole = what == ShareTell::whole;
@@ -312,7 +315,8 @@
     node.out = false;
     if (answer.epoch == 0) return elsewhere(g);
     if (answer.epoch >= node.epoch) {
-      node.epoch = answer.epoch, node.place = answer.news.place;
+      node.epoch = answer.epoch;
+      if (answer.news.listed) node.at = {answer.epoch, answer.news.place};
       if (answer.news.revision > node.revision) {
         node.revision = answer.news.revision;
         if (changedAt_ > 0)
--- a/src/fleet/change_log.cpp
+++ b/src/fleet/change_log.cpp
@@ -1,6 +1,8 @@
 #include "fleet/change_log.hpp"
 
 #include <algorithm>
+#include <set>
+#include <utility>
 
 namespace lilacmux {
 
@@ -19,15 +21,39 @@
   in.at("cold").get_to(i.warmupMs);
 }
 
-void ChangeLog::servers(const std::vector<Instance>& list) {
-  // The list is read over several pages, between which it may change: an id may come twice.
-  std::map<std::string, Instance> now;
+ChangeLog ChangeLog::continuing(std::uint64_t epoch, const ChangeLog& before) {
+  ChangeLog out = before;
+  out.revision_ = 0;
+  out.body_.reset();
+  out.enter(epoch);
+  return out;
+}
+
+// Another epoch's primary leads, and has told no list yet.
+void ChangeLog::enter(std::uint64_t epoch) {
+  epoch_ = epoch;
+  listed_ = false;
+}
+
+// The list is read over several pages, between which it may change: an id may come twice.
+ChangeLog::Servers ChangeLog::inheriting(const std::vector<Instance>& list) const {
+  Servers out;
   for (Instance instance : list) {
     if (const auto old = servers_.find(instance.id); old != servers_.end()) instance.inherit(old->second);
-    if (const auto twice = now.find(instance.id); twice != now.end()) instance.inherit(twice->second);
-    now[instance.id] = instance;
+    if (const auto twice = out.find(instance.id); twice != out.end()) instance.inherit(twice->second);
+    out[instance.id] = instance;
   }
+  return out;
+}
+
+void ChangeLog::servers(const std::vector<Instance>& list) {
+  replace(inheriting(list), {epoch_, position().place + 1});
+}
+
+// All servers there are from `after` on; notes what is another.
+void ChangeLog::replace(Servers&& now, const ListPosition& after) {
   Change change;
+  change.after = after;
   for (const auto& [id, instance] : now) {
     const auto old = servers_.find(id);
     if (old == servers_.end() || !(old->second == instance)) change.set.push_back(instance);
@@ -35,50 +61,42 @@
   for (const auto& [id, instance] : servers_)
     if (!now.contains(id)) change.gone.push_back(id);
   servers_ = std::move(now);
+  const bool isFirst = !std::exchange(listed_, true);
+  if (position().epoch == 0)
+    base_ = after;  // nobody has followed anything before it
+  else if (isFirst || change.entries() > 0)
+    add(std::move(change));
+}
+
+void ChangeLog::apply(const News& news, const ListPosition& after) {
+  Change change{after, news.set, news.gone};
+  for (Instance& instance : change.set) {
+    if (const auto old = servers_.find(instance.id); old != servers_.end()) instance.inherit(old->second);
+    servers_[instance.id] = instance;
+  }
+  for (const std::string& id : change.gone) servers_.erase(id);
   listed_ = true;
-  if (change.entries() == 0) return;
-  change.place = place_ + 1;
   add(std::move(change));
 }
 
 void ChangeLog::add(Change&& change) {
-  place_ = change.place;
   entries_ += change.entries();
   changes_.push_back(std::move(change));
   const std::size_t mostEntries = std::max(kLeastEntries, servers_.size());
   while (changes_.size() > kKept || (entries_ > mostEntries && changes_.size() > 1)) {
-    oldest_ = changes_.front().place;
+    base_ = changes_.front().after;
     entries_ -= changes_.front().entries();
     changes_.pop_front();
   }
 }
 
-void ChangeLog::clear(std::uint64_t place) {
-  place_ = oldest_ = place;
-  changes_.clear();
-  entries_ = 0;
-}
-
 void ChangeLog::follow(std::uint64_t epoch, const News& news) {
   if (epoch < epoch_) return;
   if (news.configuration && news.revision > revision_) configuration(news.revision, news.configuration);
-  if (epoch > epoch_) {
-    epoch_ = epoch;
-    listed_ = false;
-    clear(1);
-  }
-  if (!news.servers || (listed_ && news.place <= place_)) return;
-  Change change{news.set, news.gone, news.place};
-  for (Instance& instance : change.set)
-    if (const auto old = servers_.find(instance.id); old != servers_.end()) instance.inherit(old->second);
-  if (news.snapshot) {
-    servers_.clear();
-    clear(news.place);
-    listed_ = true;
-  }
-  for (const Instance& instance : change.set) servers_[instance.id] = instance;
-  for (const std::string& id : change.gone) servers_.erase(id);
-  if (!news.snapshot) add(std::move(change));
+  if (epoch > epoch_) enter(epoch);
+  if (!news.listed || (listed_ && news.place <= place())) return;
+  const ListPosition after{epoch, news.place};
+  news.snapshot ? replace(inheriting(news.set), after) : apply(news, after);
 }
 
 void ChangeLog::configuration(std::uint64_t revision, std::shared_ptr<const std::string> body) {
@@ -86,34 +104,44 @@
   body_ = std::move(body);
 }
 
-ChangeLog::News ChangeLog::since(std::uint64_t epoch, std::uint64_t from, std::uint64_t revision) const {
+// How many of the changes that are kept lead to the list at `at`, or to one before it from which it differs
+// by what comes next here. Nothing: none that is known of does.
+std::optional<std::size_t> ChangeLog::changesUpTo(const ListPosition& at) const {
+  if (at.epoch == 0) return std::nullopt;
+  for (std::size_t count = changes_.size() + 1; count-- > 0;) {
+    const ListPosition& here = count == 0 ? base_ : changes_[count - 1].after;
+    if (here.epoch != at.epoch || here.place > at.place) continue;
+    const bool hasNext = count < changes_.size() && changes_[count].after.epoch == at.epoch;
+    if (here.place == at.place || hasNext) return count;
+    return std::nullopt;
+  }
+  return std::nullopt;
+}
+
+ChangeLog::News ChangeLog::since(const ListPosition& at, std::uint64_t revision) const {
   News out;
   out.place = place();
   out.revision = revision_;
+  out.listed = listed_;
   if (revision < revision_) out.configuration = body_;
-  if (!listed_) {  // a follower that was told of this epoch's list elsewhere keeps what it has
-    out.place = epoch == epoch_ ? from : 0;
-    return out;
-  }
-  if (epoch == epoch_ && from > place_) {  // a follower that was told more elsewhere keeps what it has
-    out.place = from;
-    return out;
-  }
-  if (epoch != epoch_ || from < oldest_) {
+  const bool knowsMore = at.epoch == epoch_ && at.place > out.place;  // it was told elsewhere
+  if (knowsMore) out.place = at.place;
+  if (!listed_ || knowsMore) return out;
+  const auto known = changesUpTo(at);
+  if (!known) {
     out.snapshot = out.servers = true;
     for (const auto& [id, instance] : servers_) out.set.push_back(instance);
     return out;
   }
   // Later changes go over earlier ones.
-  std::map<std::string, Instance> set;
-  std::map<std::string, bool> gone;
-  for (const Change& change : changes_) {
-    if (change.place <= from) continue;
-    for (const Instance& instance : change.set) set[instance.id] = instance, gone.erase(instance.id);
-    for (const std::string& id : change.gone) set.erase(id), gone[id] = true;
+  std::map<std::string, const Instance*> set;
+  std::set<std::string> gone;
+  for (std::size_t i = *known; i < changes_.size(); ++i) {
+    for (const Instance& instance : changes_[i].set) set[instance.id] = &instance, gone.erase(instance.id);
+    for (const std::string& id : changes_[i].gone) set.erase(id), gone.insert(id);
   }
-  for (auto& [id, instance] : set) out.set.push_back(instance);
-  for (const auto& [id, yes] : gone) out.gone.push_back(id);
+  for (const auto& [id, instance] : set) out.set.push_back(*instance);
+  out.gone.assign(gone.begin(), gone.end());
   out.servers = !out.set.empty() || !out.gone.empty();
   return out;
 }
--- a/src/fleet/follower_state.cpp
+++ b/src/fleet/follower_state.cpp
@@ -10,11 +10,12 @@
   const ChangeLog::News& news = answer.news;
   if (news.servers) out = news.snapshot ? takeSnapshot(news) : takeChanges(news);
   epoch_ = answer.epoch;
-  place_ = news.place;
+  if (news.listed) position_ = {epoch_, news.place};
+  if (!answer.listAgeMs) return out;
   // What a relay tells is as old as its own call to the primary. Where the configuration in force here is
   // older than the one that the relay knows of, as one that could not be read, nothing is known to be in its
   // favour.
-  const Millis askedAt = sentAt - answer.ageMs - answer.listAgeMs;
+  const Millis askedAt = sentAt - answer.ageMs - *answer.listAgeMs;
   if (revision > 0 && revision >= news.revision) leaseUntil_ = std::max(leaseUntil_, askedAt + lease_);
   return out;
 }
@@ -51,9 +52,6 @@
   return out;
 }
 
-void FollowerState::place(FollowCall& call) const {
-  call.epoch = epoch_;
-  call.place = place_;
-}
+void FollowerState::place(FollowCall& call) const { call.at = position_; }
 
 }  // namespace lilacmux
--- a/src/fleet/follower_state.hpp
+++ b/src/fleet/follower_state.hpp
@@ -16,7 +16,8 @@
   using Millis = double;
 
   // A lease lasts for `lease` ms from the moment at which the primary was asked for what the state rests on,
-  // less what its list of servers was too old by.
+  // less what its list of servers was too old by. A primary that does not know how old its list is, as it has
+  // read none yet, renews no lease.
   explicit FollowerState(Millis lease) : lease_(lease) {}
 
   struct Update {
@@ -34,8 +35,8 @@
   void place(FollowCall& call) const;
 
   std::uint64_t epoch() const { return epoch_; }
-  std::uint64_t logPlace() const { return place_; }
-  bool listed() const { return listed_; }  // has had a list of servers
+  const ListPosition& position() const { return position_; }  // of the servers here
+  bool listed() const { return listed_; }                     // has had a list of servers
   bool holdsLease(Millis now) const { return now < leaseUntil_; }
   Millis leaseLeft(Millis now) const { return now < leaseUntil_ ? leaseUntil_ - now : 0; }
   const std::map<std::string, Instance>& instances() const { return instances_; }  // by id
@@ -45,7 +46,8 @@
   Update takeChanges(const ChangeLog::News& news);
 
   const Millis lease_;
-  std::uint64_t epoch_ = 0, place_ = 0;
+  std::uint64_t epoch_ = 0;  // of the newest primary that was heard
+  ListPosition position_;    // of the servers here
   bool listed_ = false;
   Millis leaseUntil_ = -1;
   std::map<std::string, Instance> instances_;
--- a/src/fleet/platform.cpp
+++ b/src/fleet/platform.cpp
@@ -18,8 +18,9 @@
 constexpr unsigned kMostPages = 200;
 constexpr unsigned kEmptyBelieved = 4;  // rounds in a row that say that there is no server at all
 constexpr double kDrainMargin = 150;    // ms of the bound on drains, for what is on its way
-constexpr double kMostListAge = 1500;   // ms; a platform that is slower yet is in trouble itself
-constexpr double kPartOfRate = 0.5;     // of what the platform takes from all callers
+// ms of a lease that are left however old the list is: whoever is in touch goes on serving between two calls.
+constexpr double kLeastLease = 700;
+constexpr double kPartOfRate = 0.5;  // of what the platform takes from all callers
 
 std::string encoded(const std::string& token) {
   static const char* digits = "0123456789ABCDEF";
@@ -63,11 +64,11 @@
   }
 }
 
-double excessListAge(double now, std::optional<double> asOf, const Bounds& bounds) {
+std::optional<double> excessListAge(double now, std::optional<double> asOf, const Bounds& bounds) {
+  if (!asOf) return std::nullopt;
   const double spare = bounds.drainTimeoutMs - bounds.servingLease() - kDrainMargin;
   if (!bounds.revocationGlobal || spare < 0) return 0;
-  if (!asOf) return kMostListAge;
-  return std::clamp(now - *asOf - spare, 0.0, kMostListAge);
+  return std::clamp(now - *asOf - spare, 0.0, std::max(0.0, bounds.servingLease() - kLeastLease));
 }
 
 PlatformWatch::PlatformWatch(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& address,
@@ -94,18 +95,20 @@
 void PlatformWatch::round() {
   gathered_.clear();
   pages_ = 0;
-  roundBeganAt_ = steadyMs();
+  age_.begin(steadyMs());
   page("");
 }
 
 void PlatformWatch::page(const std::string& token) {
   const std::string target = token.empty() ? "/instances" : "/instances?pageToken=" + encoded(token);
+  askedAt_ = steadyMs();
   fetcher_.get(target, kAnswerWithin, [this](std::optional<Fetched> answer) {
-    if (!answer) return failed("no answer", false);
-    if (answer->status != 200)
-      return failed("status " + std::to_string(answer->status), answer->status == 429);
+    if (!answer) return failed("no answer");
+    if (answer->status == 429) return refused();
+    if (answer->status != 200) return failed("status " + std::to_string(answer->status));
     auto read = parsePage(answer->body);
-    if (const auto* why = std::get_if<std::string>(&read)) return failed(*why, false);
+    if (const auto* why = std::get_if<std::string>(&read)) return failed(*why);
+    age_.answered(askedAt_, steadyMs());
     ListPage& got = std::get<ListPage>(read);
     gathered_.insert(gathered_.end(), got.instances.begin(), got.instances.end());
     if (!got.next.empty() && ++pages_ < kMostPages)
@@ -115,18 +118,25 @@
     if (gathered_.empty() && had_ > 0 && ++emptyRounds_ < kEmptyBelieved) return again(kEvery);
     emptyRounds_ = 0;
     had_ = gathered_.size();
-    listAsOf_ = roundBeganAt_;
+    age_.complete();
     told_(gathered_);
     again(kEvery);
   });
 }
 
-// While the platform does not answer, nobody can know who leaves. Where it refuses, it was asked too often.
-void PlatformWatch::failed(const std::string& why, bool refused) {
-  if (!refused) listAsOf_ = steadyMs();
+// While the platform does not answer, nobody can know who leaves.
+void PlatformWatch::failed(const std::string& why) {
+  age_.failed(askedAt_, steadyMs());
+  rest(why, 1);
+}
+
+// It was asked too often.
+void PlatformWatch::refused() { rest("refused", 2); }
+
+void PlatformWatch::rest(const std::string& why, unsigned pauses) {
   if (failures_++ == 0) log_("the platform's list did not come (" + why + "): the one before stays");
-  const auto pause = kEvery * std::min(failures_, 4u);
-  again(std::min<std::chrono::milliseconds>(refused ? 2 * pause : pause, kMostPause));
+  const auto pause = kEvery * std::min(failures_, 4u) * pauses;
+  again(std::min<std::chrono::milliseconds>(pause, kMostPause));
 }
 
 }  // namespace lilacmux
--- a/src/fleet/platform.hpp
+++ b/src/fleet/platform.hpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "fleet/change_log.hpp"
+#include "fleet/list_age.hpp"
 #include "net/fetch.hpp"
 #include "settings/settings.hpp"
 
@@ -27,8 +28,9 @@
 // How much older the list is than a gatekeeper's lease allows for, ms. Who hears of it no more serves on for
 // that lease (`servingLease`), and must not send to a server for longer than `drainTimeoutMs` after the
 // platform has shown it to leave. Reading the list takes the longer the more servers there are. `asOf`: as
-// PlatformWatch has it. From 0, where the lease is the stricter bound or there is none, to 1,500.
-double excessListAge(double now, std::optional<double> asOf, const Bounds& bounds);
+// ListAge has it. From 0, where the lease is the stricter bound or there is none, to the lease less 700;
+// nothing where nothing is known of the list's age.
+std::optional<double> excessListAge(double now, std::optional<double> asOf, const Bounds& bounds);
 
 class PlatformWatch {
  public:
@@ -41,14 +43,15 @@
   PlatformWatch(const PlatformWatch&) = delete;
   PlatformWatch& operator=(const PlatformWatch&) = delete;
 
-  // Whatever the platform has shown until then is known, ms of the steady clock: when the last round began
-  // that came whole, or when the platform failed to answer last. Nothing: neither has been yet.
-  std::optional<double> listAsOf() const { return listAsOf_; }
+  // Whatever the platform has shown until then is known, ms of the steady clock; see ListAge.
+  std::optional<double> listAsOf() const { return age_.asOf(); }
 
  private:
   void round();
   void page(const std::string& token);
-  void failed(const std::string& why, bool refused);
+  void failed(const std::string& why);
+  void refused();
+  void rest(const std::string& why, unsigned pauses);
   void again(std::chrono::milliseconds wait);
   // Calls `then` after that time, unless this one has gone by then.
   void after(std::chrono::milliseconds wait, std::function<void()> then);
@@ -63,8 +66,8 @@
   unsigned emptyRounds_ = 0;
   unsigned failures_ = 0;  // rounds in a row
   unsigned pages_ = 0;
-  double roundBeganAt_ = 0;
-  std::optional<double> listAsOf_;
+  double askedAt_ = 0;  // the last page
+  ListAge age_;
   // A timer that has run out before this one goes calls its handler afterwards, and without an error.
   const std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/fleet/primary.cpp
+++ b/src/fleet/primary.cpp
@@ -12,9 +12,11 @@
 
 }  // namespace
 
-Primary::Primary(Millis now, std::uint64_t epoch, const std::set<std::string>& holders,
-                 const QuotaRule& quotas, const RetryRule& retries)
-    : rule_(quotas), log_(epoch), shares_(ShareLedger::Fills::byQuota, {}, now, holders, firstGrant(epoch)) {
+Primary::Primary(Millis now, std::uint64_t epoch, const ChangeLog& followed,
+                 const std::set<std::string>& holders, const QuotaRule& quotas, const RetryRule& retries)
+    : rule_(quotas),
+      log_(ChangeLog::continuing(epoch, followed)),
+      shares_(ShareLedger::Fills::byQuota, {}, now, holders, firstGrant(epoch)) {
   if (retries.limits()) retries_.emplace(retries, now, holders, firstGrant(epoch));
 }
 
@@ -51,7 +53,7 @@
 void Primary::feed(Millis now, const FollowCall& call, bool named, FollowAnswer& out) {
   out.epoch = log_.epoch();
   if (call.leaves) return leave(now, call);
-  out.news = log_.since(call.epoch, call.place, call.revision);
+  out.news = log_.since(call.at, call.revision);
   note(now, call);
   for (const auto& [name, relay] : relays_) out.gatekeepers += relay.gatekeepers;
   out.relaysAre = relaysAre_;
--- a/src/fleet/primary.hpp
+++ b/src/fleet/primary.hpp
@@ -20,9 +20,10 @@
  public:
   using Millis = double;
 
-  // `holders`: relays that may have been lent shares by primaries before this one.
-  Primary(Millis now, std::uint64_t epoch, const std::set<std::string>& holders, const QuotaRule& quotas,
-          const RetryRule& retries);
+  // `followed`: what this process was told by the primaries before this one. `holders`: relays that may have
+  // been lent shares by them.
+  Primary(Millis now, std::uint64_t epoch, const ChangeLog& followed, const std::set<std::string>& holders,
+          const QuotaRule& quotas, const RetryRule& retries);
 
   void servers(const std::vector<Instance>& list) { log_.servers(list); }
   // `limits`: each tenant's rate and burst, as the operator has them.
--- a/src/fleet/relay.cpp
+++ b/src/fleet/relay.cpp
@@ -61,7 +61,7 @@
   out.epoch = log_.epoch();
   out.ageMs = now - heardAt_;
   out.listAgeMs = listAge_;
-  out.news = log_.since(call.epoch, call.place, call.revision);
+  out.news = log_.since(call.at, call.revision);
   out.gatekeepers = fleet_;
   if (call.relays != relaysAre_) {
     out.relaysAre = relaysAre_;
@@ -100,8 +100,7 @@
   out.address = at_.address;
   out.gatekeepers = gatekeepers(now);
   out.settled = now - startedAt_ >= kSettledAfter;
-  out.epoch = log_.epoch();
-  out.place = log_.place();
+  out.at = log_.position();
   out.revision = log_.revision();
   return out;
 }
--- a/src/fleet/relay.hpp
+++ b/src/fleet/relay.hpp
@@ -44,6 +44,8 @@
 
   std::size_t gatekeepers(Millis now) const { return quotas_.gatekeepers(now); }
   std::uint64_t revision() const { return log_.revision(); }
+  // What the primary has told; a primary that takes over goes on from it.
+  const ChangeLog& log() const { return log_; }
 
  private:
   FollowAnswer sendOn(Millis now, const FollowCall& call);
@@ -59,7 +61,8 @@
   std::uint64_t relaysAre_ = 0;
   std::size_t fleet_ = 0;
   bool leaving_ = false;
-  Millis listAge_ = 0;      // as the primary told it: how much older than allowed its list of servers is
+  std::optional<Millis>
+      listAge_;             // as the primary told it: how much older than allowed its list of servers is
   Millis heardAt_ = -1e18;  // when the call was sent that was answered last
 };
 
--- a/src/fleet/wire.cpp
+++ b/src/fleet/wire.cpp
@@ -62,9 +62,9 @@
 
 Frame toFrame(const FollowCall& call) {
   Frame out;
-  out.head = {{kKind, "follow"},     {"name", call.name},     {"zone", call.zone},
-              {"epoch", call.epoch}, {"place", call.place},   {"revision", call.revision},
-              {"whole", call.whole}, {"relays", call.relays}, {"demands", demandsOf(call.demands)}};
+  out.head = {{kKind, "follow"},        {"name", call.name},      {"zone", call.zone},
+              {"epoch", call.at.epoch}, {"place", call.at.place}, {"revision", call.revision},
+              {"whole", call.whole},    {"relays", call.relays},  {"demands", demandsOf(call.demands)}};
   if (!call.requests.empty()) {
     out.head["requests"] = json::object();
     for (const auto& [service, perS] : call.requests) out.head["requests"][service] = grains(perS);
@@ -86,8 +86,8 @@
     const json& in = frame.head;
     in.at("name").get_to(out.name);
     in.at("zone").get_to(out.zone);
-    in.at("epoch").get_to(out.epoch);
-    in.at("place").get_to(out.place);
+    in.at("epoch").get_to(out.at.epoch);
+    in.at("place").get_to(out.at.place);
     in.at("revision").get_to(out.revision);
     in.at("whole").get_to(out.whole);
     in.at("relays").get_to(out.relays);
@@ -117,7 +117,11 @@
               {"fleet", a.gatekeepers}, {"age", std::llround(std::ceil(a.ageMs))},
               {"grant", a.grant}};
   if (!a.known) out.head["unknown"] = true;
-  if (a.listAgeMs > 0) out.head["listAge"] = std::llround(std::ceil(a.listAgeMs));
+  if (!a.news.listed) out.head["unlisted"] = true;
+  if (!a.listAgeMs)
+    out.head["listAgeUnknown"] = true;
+  else if (*a.listAgeMs > 0)
+    out.head["listAge"] = std::llround(std::ceil(*a.listAgeMs));
   if (!a.core.members.empty()) {
     out.head["core"] = a.core.members;
     out.head["coreEpoch"] = a.core.epoch;
@@ -161,7 +165,8 @@
     in.at("revision").get_to(out.news.revision);
     in.at("fleet").get_to(out.gatekeepers);
     in.at("age").get_to(out.ageMs);
-    out.listAgeMs = in.value("listAge", 0.0);
+    out.news.listed = out.news.place > 0 && !in.contains("unlisted");  // builds before this one do not tell
+    out.listAgeMs = in.contains("listAgeUnknown") ? std::nullopt : std::optional(in.value("listAge", 0.0));
     in.at("grant").get_to(out.grant);
     out.known = !in.contains("unknown");
     if (in.contains("set")) {
--- a/src/fleet/wire.hpp
+++ b/src/fleet/wire.hpp
@@ -25,7 +25,8 @@
 struct FollowCall {
   std::string name;
   std::string zone;
-  std::uint64_t epoch = 0, place = 0, revision = 0;
+  ListPosition at;  // of the list of servers that it has
+  std::uint64_t revision = 0;
   bool whole = false;  // it tells of all that it holds
   bool leaves =
       false;  // it ends, or goes elsewhere: what of its holdings it still answers for, and gives back
@@ -43,7 +44,9 @@
   std::string leader;       // not empty: ask there
   std::uint64_t epoch = 0;  // 0: ask elsewhere
   double ageMs = 0;         // how long ago the primary was asked for what this tells
-  double listAgeMs = 0;     // by how much its list of servers is older than a gatekeeper's lease allows for
+  // By how much the list of servers is older than a gatekeeper's lease allows for, ms. Nothing: the primary
+  // has not read it since it leads, and knows nothing of its age.
+  std::optional<double> listAgeMs = 0;
   ChangeLog::News news;
   std::size_t gatekeepers = 0;
   bool known = true;  // else all that is held must be told before anything is lent
--- a/src/gateway/gateway_status.cpp
+++ b/src/gateway/gateway_status.cpp
@@ -28,7 +28,7 @@
       {"draining", draining_},
       {"revision", table_ ? table_->revision() : 0},
       {"lease_ms", followed_.leaseLeft(now())},
-      {"log", {{"epoch", epochText(followed_.epoch())}, {"place", followed_.logPlace()}}},
+      {"log", {{"epoch", epochText(followed_.epoch())}, {"place", followed_.position().place}}},
       {"gatekeepers", fleet_},
       {"held", held_.size() + parked_.size()},
       {"services", services}};
--- a/tests/system/catch_up_test.cpp
+++ b/tests/system/catch_up_test.cpp
@@ -91,10 +91,11 @@
   for (std::uint64_t seed = 1; seed <= 40; ++seed) {
     std::mt19937_64 random(seed);
     Platform platform(seed);
-    Primary primary(0, kEpoch, {}, QuotaRule{}, RetryRule{});
+    Primary primary(0, kEpoch, ChangeLog(), {}, QuotaRule{}, RetryRule{});
     Relay relay("r", {"10.0.0.9:1", "z"}, 1, 0);
     FollowerState gatekeeper(kLease);
     primary.servers(platform.list());
+    unsigned gatekeeperAway = 0;
     for (double now = 0; now < 40; ++now) {
       const std::size_t away = random() % 4 == 0 ? random() % 400 : random() % 3;
       for (std::size_t i = 0; i < away; ++i) primary.servers(platform.change());
@@ -102,7 +103,11 @@
       FollowAnswer told;
       primary.feed(now, relay.asks(now, ShareTell::whole), true, told);
       relay.news(now, sent(told, bytes), now);
-      if (random() % 3 == 0) continue;  // the gatekeeper does not come each time
+      // The gatekeeper does not come each time, and now and then not for long: a relay that was told a
+      // snapshot may have worked out what it changes.
+      if (gatekeeperAway > 0 && --gatekeeperAway > 0) continue;
+      if (random() % 8 == 0) gatekeeperAway = 10;
+      if (random() % 3 == 0) continue;
       const auto answer = sent(relay.follow(now, callOf(gatekeeper, 0)), bytes);
       std::set<std::string> ids;
       for (const Instance& instance : answer.news.set) EXPECT_TRUE(ids.insert(instance.id).second);
@@ -125,7 +130,7 @@
   for (std::size_t round = 0; round < 3000; ++round) {
     for (std::size_t i = 0; i < 1 + round % 60; ++i) ++list[(round * 31 + i) % list.size()].capacity;
     primary.servers(list);
-    relay.follow(kEpoch, primary.since(relay.epoch(), relay.place(), 0));
+    relay.follow(kEpoch, primary.since(relay.position(), 0));
     for (const ChangeLog* log : {&primary, &relay}) {
       mostEntries = std::max(mostEntries, log->entries());
       mostChanges = std::max(mostChanges, log->changes());
@@ -143,7 +148,7 @@
   const auto place = primary.place();
   primary.servers({server(1, 5), server(1)});
   EXPECT_EQ(primary.list().at("i-1").capacity, 3u);
-  EXPECT_FALSE(primary.since(kEpoch, place, 0).servers) << "nothing has changed in what is kept";
+  EXPECT_FALSE(primary.since({kEpoch, place}, 0).servers) << "nothing has changed in what is kept";
   Instance leaving = server(1);
   leaving.draining = true;
   primary.servers({leaving, server(1)});
@@ -158,27 +163,27 @@
   primary.servers({leaving});
   primary.servers({server(1)});
   EXPECT_TRUE(primary.list().at("i-1").draining);
-  relay.follow(kEpoch, primary.since(0, 0, 0));
+  relay.follow(kEpoch, primary.since({}, 0));
   next.servers({server(1)});
-  relay.follow(2 * kEpoch, next.since(relay.epoch(), relay.place(), 0));
+  relay.follow(2 * kEpoch, next.since(relay.position(), 0));
   EXPECT_TRUE(relay.list().at("i-1").draining);
-  EXPECT_TRUE(relay.since(0, 0, 0).set.at(0).draining);
+  EXPECT_TRUE(relay.since({}, 0).set.at(0).draining);
 }
 
 // A relay that came before the list and one that had it already: a gatekeeper that goes from the second to
 // the first keeps its place, or the first would take it back to what the list was then.
 TEST(CatchUp, APlaceIsKeptAtARelayThatHasNoListYet) {
   ChangeLog primary(kEpoch), early;
-  early.follow(kEpoch, primary.since(0, 0, 0));
+  early.follow(kEpoch, primary.since({}, 0));
   primary.servers({server(1)});
-  const auto first = primary.since(kEpoch, early.place(), 0);  // on its way to `early`
+  const auto first = primary.since({kEpoch, early.place()}, 0);  // on its way to `early`
   primary.servers({server(1), server(2)});
   const auto place = primary.place();
-  EXPECT_EQ(early.since(kEpoch, place, 0).place, place);
+  EXPECT_EQ(early.since({kEpoch, place}, 0).place, place);
   early.follow(kEpoch, first);
-  EXPECT_FALSE(early.since(kEpoch, place, 0).servers);
-  early.follow(kEpoch, primary.since(kEpoch, early.place(), 0));
-  EXPECT_FALSE(early.since(kEpoch, place, 0).servers);
+  EXPECT_FALSE(early.since({kEpoch, place}, 0).servers);
+  early.follow(kEpoch, primary.since({kEpoch, early.place()}, 0));
+  EXPECT_FALSE(early.since({kEpoch, place}, 0).servers);
 }
 
 // A version that could not be taken in may have taken keys away that the one in force has.
@@ -212,6 +217,80 @@
   EXPECT_DOUBLE_EQ(state.leaseLeft(1000), kLease - 900);
 }
 
+// A new primary that has not read the list knows nothing of what has left since the last one read it.
+TEST(CatchUp, NoLeaseIsRenewedByAPrimaryThatHasReadNoList) {
+  FollowerState state(kLease);
+  FollowAnswer told;
+  told.epoch = kEpoch;
+  told.news.revision = 7;
+  state.take(told, 1000, 7);
+  told.epoch = 2 * kEpoch;
+  told.listAgeMs.reset();
+  state.take(*followAnswerOf(toFrame(told)), 3000, 7);
+  EXPECT_EQ(state.epoch(), 2 * kEpoch);
+  EXPECT_DOUBLE_EQ(state.leaseLeft(3000), kLease - 2000);
+}
+
+// The next primary goes on from the list that it has followed: nobody who has that list needs it whole again.
+TEST(CatchUp, ATakeOverCostsAFollowerWhatHasChanged) {
+  ChangeLog primary(kEpoch), relay;
+  primary.servers({server(1), server(2)});
+  relay.follow(kEpoch, primary.since({}, 0));
+  const ListPosition gatekeeper = relay.position();
+  ChangeLog next = ChangeLog::continuing(2 * kEpoch, relay);
+  EXPECT_FALSE(next.since(gatekeeper, 0).listed) << "it has read no list yet";
+  relay.follow(2 * kEpoch, next.since(relay.position(), 0));
+  EXPECT_EQ(relay.position(), gatekeeper);
+  EXPECT_FALSE(relay.listed());
+  next.servers({server(1), server(3)});
+  relay.follow(2 * kEpoch, next.since(relay.position(), 0));
+  EXPECT_TRUE(relay.listed());
+  const auto news = relay.since(gatekeeper, 0);
+  EXPECT_FALSE(news.snapshot);
+  EXPECT_EQ(news.set, std::vector<Instance>{server(3)});
+  EXPECT_EQ(news.gone, std::vector<std::string>{"i-2"});
+  EXPECT_EQ(news.place, next.place());
+}
+
+TEST(CatchUp, ATakeOverWithoutAChangeTellsNoServerAnew) {
+  ChangeLog primary(kEpoch);
+  primary.servers({server(1), server(2)});
+  ChangeLog next = ChangeLog::continuing(2 * kEpoch, primary);
+  next.servers({server(1), server(2)});
+  const auto news = next.since(primary.position(), 0);
+  EXPECT_TRUE(news.listed);
+  EXPECT_FALSE(news.servers);
+  EXPECT_EQ(news.place, next.place());
+}
+
+// One that has followed nobody sends relays a snapshot; they work out what it changes for their gatekeepers.
+TEST(CatchUp, ARelayTellsASnapshotOnAsWhatItChanges) {
+  ChangeLog primary(kEpoch), relay, stranger(2 * kEpoch);
+  primary.servers({server(1), server(2)});
+  relay.follow(kEpoch, primary.since({}, 0));
+  const ListPosition gatekeeper = relay.position();
+  stranger.servers({server(2), server(3)});
+  const auto told = stranger.since(relay.position(), 0);
+  EXPECT_TRUE(told.snapshot);
+  relay.follow(2 * kEpoch, told);
+  const auto news = relay.since(gatekeeper, 0);
+  EXPECT_FALSE(news.snapshot);
+  EXPECT_EQ(news.set, std::vector<Instance>{server(3)});
+  EXPECT_EQ(news.gone, std::vector<std::string>{"i-1"});
+}
+
+// The old primary told some of them more than it told the one that took over.
+TEST(CatchUp, WhoKnowsMoreOfAnEarlierEpochThanTheNextPrimaryGetsASnapshot) {
+  ChangeLog primary(kEpoch);
+  primary.servers({server(1)});
+  const ChangeLog behind = primary;
+  primary.servers({server(1), server(2)});
+  ChangeLog next = ChangeLog::continuing(2 * kEpoch, behind);
+  next.servers({server(1)});
+  EXPECT_TRUE(next.since(primary.position(), 0).snapshot);
+  EXPECT_FALSE(next.since(behind.position(), 0).snapshot);
+}
+
 nlohmann::json routes(std::size_t count) {
   nlohmann::json out = nlohmann::json::array();
   for (std::size_t i = 0; i < count; ++i)
@@ -240,7 +319,7 @@
 // times are only told: they depend on the machine.
 TEST(CatchUp, AfterThreeHundredChangesItTakesOneConfigurationAndOneList) {
   for (const std::size_t servers : {304, 900}) {
-    Primary primary(0, kEpoch, {}, QuotaRule{}, RetryRule{});
+    Primary primary(0, kEpoch, ChangeLog(), {}, QuotaRule{}, RetryRule{});
     Relay relay("r", {"10.0.0.9:1", "z"}, 1, 0);
     std::vector<Instance> list;
     for (std::size_t i = 0; i < servers; ++i) list.push_back(server(i));
--- a/tests/system/fleet_test.cpp
+++ b/tests/system/fleet_test.cpp
@@ -105,8 +105,8 @@
   word.listAgeMs = 400;
   relay.news(100, word, 90);
   const auto answer = relay.follow(300, call);
-  EXPECT_DOUBLE_EQ(answer.listAgeMs, 400);
-  EXPECT_DOUBLE_EQ(followAnswerOf(toFrame(answer))->listAgeMs, 400);
+  EXPECT_DOUBLE_EQ(answer.listAgeMs.value(), 400);
+  EXPECT_DOUBLE_EQ(followAnswerOf(toFrame(answer))->listAgeMs.value(), 400);
   EXPECT_EQ(answer.epoch, word.epoch);
   EXPECT_DOUBLE_EQ(answer.ageMs, 210);
   EXPECT_EQ(relay.follow(2200, call).epoch, 0u);
@@ -119,12 +119,12 @@
 // A relay that came before the primary had read its first list gets it whole, and tells it on.
 TEST(Relays, ThatCameBeforeTheFirstListTellItOn) {
   ChangeLog primary(9), relay;
-  relay.follow(9, primary.since(0, 0, 0));
+  relay.follow(9, primary.since({}, 0));
   EXPECT_EQ(relay.place(), 0u);
   primary.servers({{"a", "s", "10.0.0.1:80", "z", 3, false, 0}});
-  relay.follow(9, primary.since(9, relay.place(), 0));
-  EXPECT_EQ(relay.since(8, 40, 0).set.size(), 1u) << "for one that followed another primary before";
-  EXPECT_TRUE(relay.since(8, 40, 0).snapshot);
+  relay.follow(9, primary.since({9, relay.place()}, 0));
+  EXPECT_EQ(relay.since({8, 40}, 0).set.size(), 1u) << "for one that followed another primary before";
+  EXPECT_TRUE(relay.since({8, 40}, 0).snapshot);
 }
 
 // What is reserved for a gatekeeper that went elsewhere is no stock for those that are here.
@@ -151,18 +151,18 @@
   leaving.draining = true;
   primary.servers({a});
   ChangeLog behind, ahead;
-  behind.follow(9, primary.since(0, 0, 0));
-  ahead.follow(9, primary.since(0, 0, 0));
+  behind.follow(9, primary.since({}, 0));
+  ahead.follow(9, primary.since({}, 0));
   primary.servers({leaving});
-  ahead.follow(9, primary.since(9, ahead.place(), 0));
+  ahead.follow(9, primary.since({9, ahead.place()}, 0));
   EXPECT_EQ(ahead.place(), primary.place());
-  const auto follower = ahead.since(0, 0, 0);
+  const auto follower = ahead.since({}, 0);
   ASSERT_EQ(follower.set.size(), 1u);
   EXPECT_TRUE(follower.set[0].draining);
-  const auto again = behind.since(9, follower.place, 0);
+  const auto again = behind.since({9, follower.place}, 0);
   EXPECT_FALSE(again.servers) << "its older list says nothing to who knows more";
   EXPECT_EQ(again.place, follower.place);
-  behind.follow(8, primary.since(0, 0, 0));
+  behind.follow(8, primary.since({}, 0));
   EXPECT_EQ(behind.epoch(), 9u);
 }
 
--- a/tests/system/follow_test.cpp
+++ b/tests/system/follow_test.cpp
@@ -42,6 +42,18 @@
   play(plan, seeds(20));
 }
 
+// The list takes seconds to read and the primary is replaced before it has read it whole, again and again:
+// who is told nothing of the list by the new ones must not go on by the old one.
+TEST(Follow, NoLeaseRestsOnAListThatNoNewPrimaryHasRead) {
+  FollowPlan plan;
+  plan.troubles = FollowPlan::Troubles::straightBack;
+  plan.troubleEvery = 2500;
+  plan.serverEvery = 250;
+  plan.servers = 60, plan.pageEvery = 300;
+  plan.drainsBindLeases = true;
+  play(plan, seeds(20));
+}
+
 // It goes on answering the gatekeepers near it, which must be told nothing old by it for long.
 TEST(Follow, AControlMachineCutOffForTwentySecondsTellsNothingOld) {
   FollowPlan plan;
--- a/tests/system/follow_world.hpp
+++ b/tests/system/follow_world.hpp
@@ -16,6 +16,8 @@
 #include <vector>
 
 #include "fleet/follower_state.hpp"
+#include "fleet/list_age.hpp"
+#include "fleet/platform.hpp"
 #include "fleet/primary.hpp"
 #include "fleet/relay.hpp"
 
@@ -33,10 +35,14 @@
   Millis troubleEvery = 900;
   Millis changeEvery = 500;  // of the configuration
   Millis serverEvery = 400;  // of the platform's list
+  Millis pageEvery = 45;     // how long reading a page of it takes
   double clockError = 0.01;  // of a clock's rate, at most
   // What may come: all there is; a primary that is killed and comes back at once; one control machine that is
   // cut off from the others, but not from gatekeepers, for twenty seconds.
   enum class Troubles { all, straightBack, longCut } troubles = Troubles::all;
+  // Whether a gatekeeper must know of a drain within the bound whenever it holds a lease, in touch or not.
+  // Where the platform cannot be read the bound does not run, so that never happens then.
+  bool drainsBindLeases = false;
 };
 
 // What was found wrong, and what was measured.
@@ -51,6 +57,7 @@
  public:
   static constexpr Millis kRevocation = 5000, kRevocationKept = 800;
   static constexpr Millis kContact = 4000, kDrainWithin = 3000, kMostLag = 800;
+  static constexpr Millis kDrainBound = 5000;  // drainTimeoutMs
   static constexpr Millis kPrimaryLease = 1000, kMemberLease = 1100;
   static constexpr Millis kAnswerWithin = 700, kEvery = 250, kTick = 50, kBackAfter = 5000;
   static constexpr std::size_t kPage = 10;
@@ -112,6 +119,7 @@
     std::uint64_t epoch = 0;
     Millis contactAt = 0;  // a majority has answered
     std::vector<Instance> gathered;
+    ListAge age;  // by its own clock
   };
   struct Host {
     std::string name;
@@ -180,8 +188,8 @@
     Leading next;
     next.epoch = epoch_;
     next.contactAt = now_;
-    next.core = std::make_unique<Primary>(host.clock.at(now_), epoch_, std::set<std::string>{}, QuotaRule{},
-                                          RetryRule{});
+    next.core = std::make_unique<Primary>(host.clock.at(now_), epoch_, host.relay->log(),
+                                          std::set<std::string>{}, QuotaRule{}, RetryRule{});
     if (revision_ > 0) next.core->configuration(host.clock.at(now_), revision_, bodyOf(revision_), {});
     host.leads = std::move(next);
     readPage(h, epoch_, 0);
@@ -257,15 +265,29 @@
     if (!host.leads || host.leads->epoch != epoch) return;
     if (host.frozenUntil > now_)
       return at(host.frozenUntil, [this, h, epoch, offset] { readPage(h, epoch, offset); });
-    if (host.cut || chance() < 0.03) return at(now_ + 500, [this, h, epoch] { readPage(h, epoch, 0); });
-    if (offset == 0) host.leads->gathered.clear();
+    if (!plan_.drainsBindLeases && (host.cut || chance() < 0.03)) return pageFailed(h, epoch);
+    if (offset == 0) {
+      host.leads->gathered.clear();
+      host.leads->age.begin(host.clock.at(now_));
+    }
     const auto list = listAt(now_ - between(0, kMostLag));
     const std::size_t end = std::min(list.size(), offset + kPage);
     for (std::size_t i = offset; i < end; ++i) host.leads->gathered.push_back(list[i]);
-    if (end < list.size()) return at(now_ + 45, [this, h, epoch, end] { readPage(h, epoch, end); });
+    if (end < list.size())
+      return at(now_ + plan_.pageEvery, [this, h, epoch, end] { readPage(h, epoch, end); });
+    host.leads->age.complete();
     host.leads->core->servers(host.leads->gathered);
     at(now_ + 500, [this, h, epoch] { readPage(h, epoch, 0); });
   }
+  // It is asked again once it has not answered.
+  void pageFailed(std::size_t h, std::uint64_t epoch) {
+    at(now_ + 500, [this, h, epoch, askedAt = now_] {
+      Host& host = *hosts_[h];
+      if (host.leads && host.leads->epoch == epoch)
+        host.leads->age.failed(host.clock.at(askedAt), host.clock.at(now_));
+      readPage(h, epoch, 0);
+    });
+  }
 
   // --- Calls
 
@@ -341,6 +363,13 @@
   static bool hostsCut(const Host& a, const Host& b) { return &a != &b && (a.cut || b.cut); }
   static bool nodeCut(const Gatekeeper& a, const Host& b) { return a.cut || b.cutFromGatekeepers; }
 
+  static Bounds bounds() {
+    Bounds out;
+    out.revocationGlobal = true;
+    out.revocationMs = kRevocation;
+    out.drainTimeoutMs = kDrainBound;
+    return out;
+  }
   FollowAnswer feed(std::size_t h, const FollowCall& call) {
     Host& host = *hosts_[h];
     FollowAnswer out;
@@ -349,6 +378,7 @@
       return out;
     }
     host.leads->core->feed(host.clock.at(now_), call, true, out);
+    out.listAgeMs = excessListAge(host.clock.at(now_), host.leads->age.asOf(), bounds());
     return out;
   }
   FollowAnswer relayed(std::size_t h, const FollowCall& call) {
@@ -418,7 +448,8 @@
   void take(Gatekeeper& node, const FollowAnswer& told) {
     node.asker.known = told.known;
     node.asker.failures = 0;
-    const auto epoch = node.state->epoch(), place = node.state->logPlace();
+    const auto epoch = node.state->epoch();
+    const ListPosition before = node.state->position();
     if (node.state->accepts(told)) {
       if (told.news.configuration) {
         const auto revision = std::stoull(*told.news.configuration);
@@ -426,7 +457,7 @@
       }
       node.state->take(told, node.asker.sentAt, node.revision);
     }
-    if (node.state->epoch() < epoch || (node.state->epoch() == epoch && node.state->logPlace() < place))
+    if (node.state->epoch() < epoch || node.state->position() < before)
       wrong(node.name + " has gone back in the log");
     for (const auto& [id, instance] : node.state->instances()) {
       if (instance.draining)
@@ -551,7 +582,19 @@
       if (node->revision < newest && node->state->holdsLease(node->clock.at(now_)))
         wrong(node->name + " serves version " + std::to_string(node->revision) + " though " +
               std::to_string(newest) + " took its keys away");
-    checkDrains();
+    plan_.drainsBindLeases ? checkLeases() : checkDrains();
+  }
+  // Who may send knows of each server that the list has shown to leave for longer than the bound.
+  void checkLeases() {
+    for (const Server& server : servers_) {
+      if (!server.drainsAt || now_ <= *server.drainsAt + kMostLag + kDrainBound) continue;
+      for (const auto& node : nodes_) {
+        if (node->frozenUntil > now_ || !node->state->holdsLease(node->clock.at(now_))) continue;
+        const auto known = node->state->instances().find(server.now.id);
+        if (known != node->state->instances().end() && !known->second.draining)
+          wrong(node->name + " may send to " + server.now.id + ", which has been leaving for too long");
+      }
+    }
   }
   void checkDrains() {
     const Millis inTouch = troubledAt_ + kContact;
--- a/tests/system/platform_test.cpp
+++ b/tests/system/platform_test.cpp
@@ -65,9 +65,61 @@
   ASSERT_EQ(asked.size(), 1u);
   EXPECT_LE(*watch.listAsOf(), asked[0]) << "what its first page has shown may be older than the last";
   EXPECT_GE(*watch.listAsOf(), asked[0] - 500);
+  const double before = *watch.listAsOf();
   fails = true;
   while (lines == 0) io.run_one();
-  EXPECT_GE(*watch.listAsOf(), asked[1]) << "while it does not answer nobody can know";
+  EXPECT_GE(*watch.listAsOf(), before);
+  EXPECT_LT(*watch.listAsOf(), asked[1]) << "what had passed before it failed counts";
+}
+
+// Times as a reader sees them: calls that are answered, that are late, and that are not answered.
+TEST(ListAge, RunsFromTheBeginOfTheLastWholeRound) {
+  ListAge age;
+  age.begin(1000);
+  EXPECT_EQ(age.asOf(), std::nullopt);
+  age.answered(1000, 1010);
+  EXPECT_EQ(age.asOf(), std::nullopt) << "a part of the list";
+  age.complete();
+  EXPECT_EQ(age.asOf(), 1000);
+  age.begin(1500);
+  age.answered(1500, 1510);
+  EXPECT_EQ(age.asOf(), 1000);
+}
+
+TEST(ListAge, DoesNotRunWhileThePlatformIsSlow) {
+  ListAge age;
+  age.begin(1000);
+  age.answered(1000, 1000 + ListAge::kOrdinaryAnswer + 300);
+  age.complete();
+  EXPECT_EQ(age.asOf(), 1300);
+}
+
+TEST(ListAge, DoesNotRunWhileThePlatformIsAwayAndKeepsWhatHadPassedBefore) {
+  ListAge age;
+  age.begin(1000);
+  age.complete();
+  age.begin(1500);
+  age.failed(1500, 2400);
+  EXPECT_EQ(age.asOf(), 1900);
+  age.begin(3000);
+  age.failed(3000, 3900);
+  EXPECT_EQ(age.asOf(), 3400) << "away between two failures, too";
+  age.begin(4400);
+  age.answered(4400, 4410);
+  age.complete();
+  EXPECT_EQ(age.asOf(), 4400);
+}
+
+// A new primary may have failed because it is slow itself; one that fails again knows that nobody can know
+// more.
+TEST(ListAge, IsUnknownToWhoHasReadNothingUntilThePlatformIsSeenToBeAway) {
+  ListAge age;
+  age.begin(1000);
+  age.failed(1000, 1900);
+  EXPECT_EQ(age.asOf(), std::nullopt);
+  age.begin(2400);
+  age.failed(2400, 3300);
+  EXPECT_EQ(age.asOf(), 3300);
 }
 
 // Whoever hears no more right after an answer serves until its lease ends, which is before the bound on
@@ -76,12 +128,12 @@
   Bounds bounds;
   bounds.revocationGlobal = true;
   bounds.drainTimeoutMs = 5000;
-  for (const double age : {0.0, 300.0, 650.0, 1000.0, 1700.0, 2100.0}) {
+  for (const double age : {0.0, 300.0, 650.0, 1000.0, 1700.0, 2100.0, 4000.0}) {
     const double listedAt = 10000, askedAt = listedAt + age;
-    const double servesUntil = askedAt - excessListAge(askedAt, listedAt, bounds) + bounds.servingLease();
+    const double servesUntil = askedAt - *excessListAge(askedAt, listedAt, bounds) + bounds.servingLease();
     EXPECT_LE(servesUntil, listedAt + bounds.drainTimeoutMs) << age;
   }
-  EXPECT_GT(excessListAge(10000, std::nullopt, bounds), 1000) << "a new primary has not read it yet";
+  EXPECT_EQ(excessListAge(10000, std::nullopt, bounds), std::nullopt) << "a new primary has not read it yet";
   bounds.drainTimeoutMs = 3000;  // shorter than the lease: it binds only whoever is in touch
   EXPECT_EQ(excessListAge(12000, 10000, bounds), 0);
 }
