Look at the lease again before a request goes out to a server

Cause, by reading: the lease was looked at when a request was taken. One that waited for a token, a slot, a further try or a connection went out up to its whole deadline later, by a list that might be too old by then; one whose connection was still coming up went to a server that had been taken off the list meanwhile. Each attempt now asks when it starts and when its connection is up, with what is queued on the machine's link taken off; such a request is refused with Retry-After, or tried at another server where only the server has gone.

Tests: Tries.NothingIsSentOnceTheLeaseHasEnded, ServerPool.*

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -131,6 +131,13 @@
   return table_ && (!settings_.bounds.revocationGlobal || followed_.holdsLease(now()));
 }
 
+// Whether what goes out now reaches its server while the lease holds: a request may have waited here since it
+// was let in, and waits behind what is queued on the machine's link.
+bool Gateway::maySend() const {
+  return mayServe() &&
+         (!settings_.bounds.revocationGlobal || followed_.holdsLease(now() + outwards_.queue()));
+}
+
 bool Gateway::ready() const { return !draining_ && followed_.listed() && mayServe(); }
 
 void Gateway::reload(const NodeSettings& settings) {
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -129,6 +129,7 @@
   void release(HeldMap::iterator held, bool ran);
   void prepare(Held& held);
   bool mayServe() const;
+  bool maySend() const;
   Time now() const;
   double chance();
 
--- a/src/gateway/gateway_attempts.cpp
+++ b/src/gateway/gateway_attempts.cpp
@@ -164,7 +164,7 @@
 void Gateway::start(RequestId id, unsigned attempt, WorkerId server, Time timeout) {
   const auto found = held_.find(id);
   const Time left = found == held_.end() ? 0 : found->second.expires - now();
-  if (left <= 0)
+  if (left <= 0 || !maySend())
     return burlwind::reportMoot(io_, id, attempt, server,
                                 [this](AttemptEnd&& end) { ended(std::move(end)); });
   Held& held = found->second;
@@ -177,6 +177,7 @@
                             held.attempt,
                             std::chrono::steady_clock::now() + span(left),
                             "X-Deadline-Remaining-Ms",
+                            [this] { return maySend(); },
                             held.route->type != RouteType::nonIdempotent};
   message.head += "X-Expected-Instance: " + names_[server] + "\r\n";
   pool_.start(id, attempt, server, std::move(message), early ? std::optional(span(timeout)) : std::nullopt);
--- a/src/node/worker_pool.cpp
+++ b/src/node/worker_pool.cpp
@@ -188,13 +188,17 @@
                             socket_.set_option(tcp::no_delay(true), ignored);
                             socket_.non_blocking(true, ignored);
                             up_ = true;
-                            if (Clock::now() >= out_.notAfter) return end(Result::moot);
+                            if (isMoot()) return end(Result::moot);
+                            if (!pool_.leadsTo(*this)) return end(Result::connectFailed);
                             if (Clock::now() >= giveUpAt_) return end(Result::connectFailed);
                             read();
                             write();
                           }));
   }
 
+  // Nobody waits for the answer any more, or the request must not go out any more.
+  bool isMoot() const { return Clock::now() >= out_.notAfter || (out_.mayBeSent && !out_.mayBeSent()); }
+
   void notUp(const Error& error) { end(isLocal(error) ? Result::moot : Result::connectFailed); }
 
   // What a connection took to come up is gone from the time that the worker is told.
@@ -606,13 +610,19 @@
   ended_(std::move(end));
 }
 
+// Whether requests may go to where this connection leads.
+bool WorkerPool::leadsTo(const Connection& connection) const {
+  const auto found = workers_.find(connection.worker);
+  return found != workers_.end() && found->second.place.address == connection.address;
+}
+
 void WorkerPool::keep(const Shared& connection) {
-  const auto found = workers_.find(connection->worker);
-  const bool wanted = found != workers_.end() && found->second.place.address == connection->address &&
-                      found->second.place.startedAtMs <= connection->openedAtMs &&
-                      found->second.idle.size() < limits_.idlePerWorker;
+  if (!leadsTo(*connection)) return drop(*connection);
+  Worker& worker = workers_.at(connection->worker);
+  const bool wanted =
+      worker.place.startedAtMs <= connection->openedAtMs && worker.idle.size() < limits_.idlePerWorker;
   if (!wanted) return drop(*connection);
-  found->second.idle.push_back(connection);
+  worker.idle.push_back(connection);
   connection->rest();
 }
 
--- a/src/node/worker_pool.hpp
+++ b/src/node/worker_pool.hpp
@@ -66,6 +66,8 @@
   // Not empty: the head ends with this field, which tells the ms that are left until `notAfter` when the
   // first byte is written, and with the empty line.
   std::string_view deadlineField{};
+  // If set: asked once more where a connection had to come up first. False: the attempt ends as moot.
+  std::function<bool()> mayBeSent{};
   bool repeatable = true;  // else an answer that pauses is awaited: no other worker may be asked
 };
 
@@ -97,7 +99,8 @@
 
   // Where a worker is. Connections to an earlier address or process are dropped.
   void place(irisring::WorkerId worker, const Place& place);
-  // Nothing new goes there; its idle connections are closed and it is forgotten. Attempts under way go on.
+  // Nothing new goes there; its idle connections are closed and it is forgotten. Attempts that it has got go
+  // on; one whose connection is still to come up fails.
   void retire(irisring::WorkerId worker);
 
   // The most connections from now on, instead of the limits' total.
@@ -131,6 +134,7 @@
   void finish(Connection& connection, AttemptEnd&& end);
   void keep(const Shared& connection);
   void drop(Connection& connection);
+  bool leadsTo(const Connection& connection) const;
   void closeIdle(Worker& worker);
 
   boost::asio::io_context& io_;
--- a/tests/system/gateway_world.hpp
+++ b/tests/system/gateway_world.hpp
@@ -3,7 +3,6 @@
 #pragma once
 
 #include <gtest/gtest.h>
-#include <unistd.h>
 
 #include <array>
 #include <boost/asio/write.hpp>
@@ -20,6 +19,7 @@
 #include "fleet/wire.hpp"
 #include "gateway/gateway.hpp"
 #include "net/frames.hpp"
+#include "own_address.hpp"
 
 namespace lilacmux::test {
 
@@ -214,10 +214,12 @@
 // Gateway, control plane and servers.
 class GatewayWorld {
  public:
-  GatewayWorld(std::size_t count, ServerConnection::Handler handler) : handler_(std::move(handler)) {
-    const auto address = ownAddress();
+  GatewayWorld(std::size_t count, ServerConnection::Handler handler, const Bounds& bounds = {})
+      : handler_(std::move(handler)) {
+    const auto address = asio::ip::make_address(ownAddress(21));
+    FreePorts ports(io, {address.to_string()});
     control_.emplace(
-        io, tcp::endpoint(address, 0), 8,
+        io, tcp::endpoint(address, ports.take()), 8,
         [this](Frame&& frame, const FrameServer::Reply& reply) { follow(frame, reply); },
         [](const std::string&) {});
     std::vector<Instance> list;
@@ -230,11 +232,11 @@
     settings.name = "gateway";
     settings.address = address.to_string();
     settings.zone = "zone";
+    settings.bounds = bounds;
     settings.firstPort = settings.lastPort = control_->address().port();
     settings.seeds = {control_->address()};
-    const auto [frontPort, readinessPort] = freePorts(address);
-    settings.frontend = tcp::endpoint(address, frontPort);
-    settings.readiness = tcp::endpoint(address, readinessPort);
+    settings.frontend = tcp::endpoint(address, ports.take());
+    settings.readiness = tcp::endpoint(address, ports.take());
     front = *settings.frontend;
     gateway.emplace(io, settings, [](const std::string&) {});
   }
@@ -265,6 +267,8 @@
     out->start();
     return out;
   }
+  // From here on the control plane answers nothing.
+  void silenceControl() { silent_ = true; }
   // The revision that the gateway says it goes by.
   std::uint64_t revisionInForce() const { return revision_; }
 
@@ -274,24 +278,13 @@
   tcp::endpoint front;
 
  private:
-  // A loopback address that no other test process uses, so that ports found free stay so.
-  static asio::ip::address ownAddress() {
-    const int id = getpid();
-    return asio::ip::make_address("127." + std::to_string(1 + id / 256 % 250) + "." +
-                                  std::to_string(id % 256) + ".21");
-  }
-  // Held at one time, so that they are two.
-  std::pair<unsigned short, unsigned short> freePorts(const asio::ip::address& address) {
-    const tcp::acceptor one(io, tcp::endpoint(address, 0)), other(io, tcp::endpoint(address, 0));
-    return {one.local_endpoint().port(), other.local_endpoint().port()};
-  }
   void follow(const Frame& frame, const FrameServer::Reply& reply) {
     const auto call = followCallOf(frame);
-    if (!call) return;
+    if (!call || silent_) return;
     revision_ = call->revision;
     FollowAnswer answer;
     answer.epoch = log_.epoch();
-    answer.news = log_.since(call->epoch, call->place, call->revision);
+    answer.news = log_.since(call->at, call->revision);
     answer.gatekeepers = 1;
     reply(toFrame(answer));
   }
@@ -300,6 +293,7 @@
   ChangeLog log_{1};
   std::optional<FrameServer> control_;
   std::uint64_t revision_ = 0;
+  bool silent_ = false;
 };
 
 // Routes of each kind under /once/, /again/ and /large/.
--- a/tests/system/tries_test.cpp
+++ b/tests/system/tries_test.cpp
@@ -14,14 +14,14 @@
 class Tries : public testing::Test {
  protected:
   void open(std::size_t servers, std::function<void(const Connection&, const Request&)> onRequest,
-            unsigned maxAttempts = 2) {
+            unsigned maxAttempts = 2, const Bounds& bounds = {}) {
     ServerConnection::Handler handler;
     handler.onHead = onHead;
     handler.onRequest = [this, onRequest](const Connection& connection, const Request& request) {
       seen.push_back(request);
       onRequest(connection, request);
     };
-    world.emplace(servers, std::move(handler));
+    world.emplace(servers, std::move(handler), bounds);
     world->configure(configurationOf(1, kTimeoutMs, maxAttempts));
     world->untilReady();
   }
@@ -69,6 +69,26 @@
   EXPECT_EQ(statusOf(got), "HTTP/1.1 502");
 }
 
+// The list of servers that it was admitted by may be too old by the time at which it is tried again.
+TEST_F(Tries, NothingIsSentOnceTheLeaseHasEnded) {
+  Bounds bounds;
+  bounds.revocationGlobal = true;
+  bounds.revocationMs = 1300;
+  Connection first;
+  open(
+      2, [&](const Connection& connection, const Request&) { first = connection; }, 2, bounds);
+  const auto client = world->connect();
+  client->send(request("GET", "/again/x", named("a")));
+  world->until([&] { return first != nullptr; }, "the request is sent");
+  world->silenceControl();
+  world->until([&] { return !world->gateway->ready(); }, "the lease has ended");
+  first->send(answerText(503, sealedFields("a") + "X-Not-Executed: 1\r\n", ""));
+  world->until([&] { return client->ended; }, "an answer");
+  EXPECT_EQ(statusOf(client->received), "HTTP/1.1 503");
+  EXPECT_TRUE(has(client->received, "Retry-After")) << "it has not run";
+  EXPECT_EQ(seen.size(), 1u) << "sent by a list that may be too old";
+}
+
 // A request that may be repeated gets what the server said.
 TEST_F(Tries, AServersOwnRefusalOfARepeatableRequestGoesOnAsItIs) {
   open(2, [&](const Connection& connection, const Request& request) {
