Send configurations packed and large answers in turn, so that heartbeats do not wait behind them

Cause, by reckoning: each of ten control processes told the whole body of 260 KB to some thirty gatekeepers at once, 8 MB on a link of 100 Mbit/s, and every later change again; heartbeats stood behind it for longer than a lease. Change: bodies go packed by zstd, against the version that the follower has where the sender has it (a change costs what it changes), checked by XXH3; answers of 16 KB and more take turns so that at most 40 ms of the link are taken when one goes out. What must wait is left out of the answer, which renews nothing, and asked for again.

--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -71,6 +71,7 @@
       announcer_(io, directory_),
       members_(io),
       relay_(settings.name, {self_, settings.zone}, newLife(), now()),
+      bulk_(settings.networkMbps),
       tick_(io),
       leave_(io) {
   if (!settings_.dataDirectory) log_("no disk: keeps nothing, and shows operators the way to those that do");
@@ -119,6 +120,7 @@
             out.zone = settings_.zone;
             out.whole = what == ShareTell::whole;
             out.at = seen_.at;
+            out.unpacks = true;
             out.revision = seen_.revision;
             out.relays = out.whole ? 0 : seen_.relaysAre;
             return out;
@@ -304,13 +306,23 @@
   ++answered_;
   if (const auto presence = presenceOf(frame)) return reply(announcer_.answer(*presence));
   if (!replica_) return reply(toFrame(wayToCore()));
-  if (const auto call = followCallOf(frame))
-    return reply(toFrame(call->address.empty() ? relayed(*call) : feed(*call)));
+  if (const auto call = followCallOf(frame)) return reply(toFrame(follow(*call)));
   const auto message = messageOf(std::move(frame));
   reply({{{"t", "heard"}}, {}});
   if (message) replica_->receive(now(), *message);
 }
 
+// A follower's call, and its configuration in the shape and at the time in which it can be sent.
+FollowAnswer ControlNode::follow(const FollowCall& call) {
+  FollowAnswer out = call.address.empty() ? relayed(call) : feed(call);
+  if (out.news.configuration && call.unpacks) {
+    packer_.take(out.news.revision, out.news.configuration);
+    out.news.packed = packer_.pack(out.news.revision, call.revision);
+  }
+  bulk_.pace(now(), call, out);
+  return out;
+}
+
 // Asked elsewhere, and where.
 FollowAnswer ControlNode::wayToCore() const {
   FollowAnswer out;
--- a/src/control/node.hpp
+++ b/src/control/node.hpp
@@ -17,6 +17,8 @@
 #include "control/member_links.hpp"
 #include "discovery/announcer.hpp"
 #include "discovery/peer_directory.hpp"
+#include "fleet/bulk_pacer.hpp"
+#include "fleet/configuration_pack.hpp"
 #include "fleet/follower.hpp"
 #include "fleet/platform.hpp"
 #include "fleet/primary.hpp"
@@ -79,6 +81,7 @@
   void framed(Frame&& frame, const FrameServer::Reply& reply);
   FollowAnswer wayToCore() const;
   NodeId towardsCore() const;
+  FollowAnswer follow(const FollowCall& call);
   FollowAnswer feed(const FollowCall& call);
   FollowAnswer relayed(const FollowCall& call);
   void lead(const State& state);
@@ -104,6 +107,8 @@
   std::unique_ptr<Primary> lead_;         // while primary
   std::unique_ptr<PlatformWatch> watch_;  // while primary
   Relay relay_;
+  ConfigurationPacker packer_;
+  BulkPacer bulk_;
   std::unique_ptr<Follower> follower_;     // the relay's, of the primary
   std::optional<std::uint64_t> coreTold_;  // to it: the epoch of the view
   RelaysSeen seen_;                        // without a disk
--- a/src/fleet/change_log.cpp
+++ b/src/fleet/change_log.cpp
@@ -92,7 +92,9 @@
 
 void ChangeLog::follow(std::uint64_t epoch, const News& news) {
   if (epoch < epoch_) return;
-  if (news.configuration && news.revision > revision_) configuration(news.revision, news.configuration);
+  if (news.revision > revision_)
+    if (auto body = news.configurationFor(revision_, body_.get()))
+      configuration(news.revision, std::move(body));
   if (epoch > epoch_) enter(epoch);
   if (!news.listed || (listed_ && news.place <= place())) return;
   const ListPosition after{epoch, news.place};
@@ -118,6 +120,11 @@
   return std::nullopt;
 }
 
+std::shared_ptr<const std::string> ChangeLog::News::configurationFor(std::uint64_t has,
+                                                                     const std::string* body) const {
+  return packed ? unpack(*packed, has, body) : configuration;
+}
+
 ChangeLog::News ChangeLog::since(const ListPosition& at, std::uint64_t revision) const {
   News out;
   out.place = place();
--- a/src/fleet/change_log.hpp
+++ b/src/fleet/change_log.hpp
@@ -14,6 +14,8 @@
 #include <string>
 #include <vector>
 
+#include "fleet/configuration_pack.hpp"
+
 namespace lilacmux {
 
 // A server as the platform lists it.
@@ -65,8 +67,9 @@
   // Of the list that is here, whichever epoch's.
   ListPosition position() const { return changes_.empty() ? base_ : changes_.back().after; }
   std::uint64_t revision() const { return revision_; }
-  std::size_t changes() const { return changes_.size(); }  // kept
-  std::size_t entries() const { return entries_; }         // in them
+  const std::shared_ptr<const std::string>& body() const { return body_; }  // the configuration's
+  std::size_t changes() const { return changes_.size(); }                   // kept
+  std::size_t entries() const { return entries_; }                          // in them
   const std::map<std::string, Instance>& list() const { return servers_; }
 
   struct News {
@@ -75,9 +78,12 @@
     bool snapshot = false;    // the servers are all there are
     std::vector<Instance> set;
     std::vector<std::string> gone;
-    bool servers = false;                              // whether `set` and `gone` say anything
-    std::shared_ptr<const std::string> configuration;  // if newer than the follower's
+    bool servers = false;                               // whether `set` and `gone` say anything
+    std::shared_ptr<const std::string> configuration;   // if newer than the follower's
+    std::shared_ptr<const PackedConfiguration> packed;  // or so
     std::uint64_t revision = 0;
+    // The configuration that it brings to one that has this version. Nothing: none, or it cannot be unpacked.
+    std::shared_ptr<const std::string> configurationFor(std::uint64_t has, const std::string* body) const;
   };
   // What a follower lacks whose list is the one at `at`.
   News since(const ListPosition& at, std::uint64_t revision) const;
--- a/src/fleet/platform.cpp
+++ b/src/fleet/platform.cpp
@@ -101,14 +101,13 @@
 
 void PlatformWatch::page(const std::string& token) {
   const std::string target = token.empty() ? "/instances" : "/instances?pageToken=" + encoded(token);
-  askedAt_ = steadyMs();
   fetcher_.get(target, kAnswerWithin, [this](std::optional<Fetched> answer) {
     if (!answer) return failed("no answer");
     if (answer->status == 429) return refused();
     if (answer->status != 200) return failed("status " + std::to_string(answer->status));
     auto read = parsePage(answer->body);
     if (const auto* why = std::get_if<std::string>(&read)) return failed(*why);
-    age_.answered(askedAt_, steadyMs());
+    age_.answered();
     ListPage& got = std::get<ListPage>(read);
     gathered_.insert(gathered_.end(), got.instances.begin(), got.instances.end());
     if (!got.next.empty() && ++pages_ < kMostPages)
@@ -126,7 +125,7 @@
 
 // While the platform does not answer, nobody can know who leaves.
 void PlatformWatch::failed(const std::string& why) {
-  age_.failed(askedAt_, steadyMs());
+  age_.failed(steadyMs());
   rest(why, 1);
 }
 
--- a/src/fleet/platform.hpp
+++ b/src/fleet/platform.hpp
@@ -66,7 +66,6 @@
   unsigned emptyRounds_ = 0;
   unsigned failures_ = 0;  // rounds in a row
   unsigned pages_ = 0;
-  double askedAt_ = 0;  // the last page
   ListAge age_;
   // A timer that has run out before this one goes calls its handler afterwards, and without an error.
   const std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/fleet/relay.cpp
+++ b/src/fleet/relay.cpp
@@ -101,6 +101,7 @@
   out.gatekeepers = gatekeepers(now);
   out.settled = now - startedAt_ >= kSettledAfter;
   out.at = log_.position();
+  out.unpacks = !asksUnpacked_;
   out.revision = log_.revision();
   return out;
 }
@@ -118,6 +119,7 @@
 void Relay::news(Millis now, const FollowAnswer& answer, Millis sentAt) {
   if (answer.epoch < log_.epoch()) return;  // who leads there no longer does
   log_.follow(answer.epoch, answer.news);
+  asksUnpacked_ = answer.news.packed && answer.news.revision > log_.revision();
   fleet_ = answer.gatekeepers;
   listAge_ = answer.listAgeMs;
   if (!answer.relays.empty()) {
--- a/src/fleet/relay.hpp
+++ b/src/fleet/relay.hpp
@@ -61,6 +61,7 @@
   std::uint64_t relaysAre_ = 0;
   std::size_t fleet_ = 0;
   bool leaving_ = false;
+  bool asksUnpacked_ = false;  // what came packed last could not be unpacked
   std::optional<Millis>
       listAge_;             // as the primary told it: how much older than allowed its list of servers is
   Millis heardAt_ = -1e18;  // when the call was sent that was answered last
--- a/src/fleet/wire.cpp
+++ b/src/fleet/wire.cpp
@@ -69,6 +69,7 @@
     out.head["requests"] = json::object();
     for (const auto& [service, perS] : call.requests) out.head["requests"][service] = grains(perS);
   }
+  if (call.unpacks) out.head["unpacks"] = true;
   if (call.leaves) out.head["leaves"] = true;
   if (!call.retries.empty()) out.head["retries"] = demandsOf(call.retries);
   if (!call.address.empty()) {
@@ -94,6 +95,7 @@
     out.demands = demandsFrom(in.at("demands"));
     if (in.contains("requests"))
       for (const auto& [service, perS] : in.at("requests").items()) out.requests[service] = ungrained(perS);
+    out.unpacks = in.contains("unpacks");
     out.leaves = in.contains("leaves");
     if (in.contains("retries")) out.retries = demandsFrom(in.at("retries"));
     if (in.contains("address")) {
@@ -141,7 +143,11 @@
     json& relays = out.head["relays"] = json::array();
     for (const RelayPlace& relay : a.relays) relays.push_back({relay.address, relay.zone});
   }
-  if (a.news.configuration) {
+  if (a.news.packed) {
+    const PackedConfiguration& packed = *a.news.packed;
+    out.head["packed"] = {{"base", packed.base}, {"size", packed.size}, {"check", packed.check}};
+    out.body = packed.bytes;
+  } else if (a.news.configuration) {
     out.head["configuration"] = true;
     out.body = *a.news.configuration;
   }
@@ -185,6 +191,14 @@
       for (const json& relay : in.at("relays"))
         out.relays.push_back({relay.at(0).get<std::string>(), relay.at(1).get<std::string>()});
     }
+    if (in.contains("packed")) {
+      auto packed = std::make_shared<PackedConfiguration>();
+      in.at("packed").at("base").get_to(packed->base);
+      in.at("packed").at("size").get_to(packed->size);
+      in.at("packed").at("check").get_to(packed->check);
+      packed->bytes = std::move(frame.body);
+      out.news.packed = std::move(packed);
+    }
     if (in.contains("configuration"))
       out.news.configuration = std::make_shared<const std::string>(std::move(frame.body));
     return out;
--- a/src/fleet/wire.hpp
+++ b/src/fleet/wire.hpp
@@ -27,7 +27,8 @@
   std::string zone;
   ListPosition at;  // of the list of servers that it has
   std::uint64_t revision = 0;
-  bool whole = false;  // it tells of all that it holds
+  bool unpacks = false;  // a configuration may come packed, against the version that it has
+  bool whole = false;    // it tells of all that it holds
   bool leaves =
       false;  // it ends, or goes elsewhere: what of its holdings it still answers for, and gives back
   std::vector<ShareDemand> demands;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -172,6 +172,7 @@
   out.zone = settings_.zone;
   followed_.place(out);
   out.revision = table_ ? table_->revision() : 0;
+  out.unpacks = !asksUnpacked_;
   out.relays = relaysAre_;
   return out;
 }
@@ -199,7 +200,7 @@
 void Gateway::news(const FollowAnswer& answer, double sentAt) {
   if (followed_.accepts(answer)) {
     fleet_ = answer.gatekeepers;
-    if (answer.news.configuration) configure(*answer.news.configuration);
+    takeConfiguration(answer.news);
     servers(followed_.take(answer, sentAt, table_ ? table_->revision() : 0));
   }
   const double lentUntil = sentAt - answer.ageMs + ShareTiming{}.lease;
@@ -214,12 +215,22 @@
   lookAtParked();
 }
 
-// Never back to an older version in one life of the process.
-void Gateway::configure(const std::string& body) {
+void Gateway::takeConfiguration(const ChangeLog::News& news) {
+  if (!news.configuration && !news.packed) return;
+  auto body = news.configurationFor(table_ ? table_->revision() : 0, body_.get());
+  asksUnpacked_ = !body;
+  if (body && configure(*body)) body_ = std::move(body);
+}
+
+// Never back to an older version in one life of the process. Whether it is in force.
+bool Gateway::configure(const std::string& body) {
   auto read = parseConfiguration(body);
-  if (const auto* why = std::get_if<std::string>(&read)) return log_("a configuration is invalid: " + *why);
+  if (const auto* why = std::get_if<std::string>(&read)) {
+    log_("a configuration is invalid: " + *why);
+    return false;
+  }
   auto& configuration = std::get<Configuration>(read);
-  if (table_ && configuration.revision <= table_->revision()) return;
+  if (table_ && configuration.revision <= table_->revision()) return false;
   std::vector<std::string> limited;
   for (const Tenant& tenant : configuration.tenants)
     if (tenant.ratePerS > 0) limited.push_back(tenant.name);
@@ -228,6 +239,7 @@
   server_.limits(clientLimits(settings_, configuration.limits, outwards_));
   table_ = std::make_shared<const RouteTable>(std::move(configuration));
   log_("configuration " + std::to_string(table_->revision()) + " is in force");
+  return true;
 }
 
 void Gateway::servers(const FollowerState::Update& update) {
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -104,7 +104,8 @@
   FollowCall asks(ShareTell what);
   FollowCall leaves();
   void news(const FollowAnswer& answer, double sentAt);
-  void configure(const std::string& body);
+  void takeConfiguration(const ChangeLog::News& news);
+  bool configure(const std::string& body);
   void servers(const FollowerState::Update& update);
   std::shared_ptr<Lane> laneOf(const std::string& service, unsigned kind);
   void tellLane(const std::string& service);
@@ -144,6 +145,8 @@
   burlwind::ClientServer server_;
   std::optional<burlwind::CallServer> readiness_;
   std::shared_ptr<const RouteTable> table_;
+  std::shared_ptr<const std::string> body_;  // what it was read from: the next may come as what it changes
+  bool asksUnpacked_ = false;                // what came packed last could not be unpacked
   Kinds kinds_;
   std::map<std::string, std::shared_ptr<Lane>> lanes_;  // by service
   FollowerState followed_;                              // the servers, and the lease
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -15,6 +15,7 @@
 [ -e /usr/include/spdlog/spdlog.h ] || need+=(libspdlog-dev)
 [ -e /usr/include/prometheus/text_serializer.h ] || need+=(prometheus-cpp-dev)
 [ -e /usr/include/xxhash.h ] || need+=(libxxhash-dev)
+[ -e /usr/include/zstd.h ] || need+=(libzstd-dev)
 [ -e /usr/include/openssl/evp.h ] || need+=(libssl-dev)
 [ -e /usr/include/toml++/toml.h ] || need+=(libtomlplusplus-dev)
 if [ ${#need[@]} -gt 0 ]; then
