--- a/src/experiment/capacity.cpp
+++ b/src/experiment/capacity.cpp
@@ -13,7 +13,7 @@
 #include "fleet/change_log.hpp"
 #include "fleet/platform.hpp"
 #include "fleet/wire.hpp"
-#include "gateway/lane.hpp"
+#include "gateway/cluster.hpp"
 #include "gateway/routes.hpp"
 #include "quota/admission.hpp"
 #include "quota/share_ledger.hpp"
@@ -205,19 +205,20 @@
 
 // --- The servers
 
-// Answers nothing: a lane is built, not used.
-class SilentLaneHost : public LaneHost {
+// Answers nothing: a cluster is built, not used.
+class SilentClusterHost : public ClusterHost {
  public:
-  void send(Lane&, irisring::RequestId, irisring::WorkerId, irisring::Time) override {}
+  void send(Cluster&, irisring::RequestId, irisring::WorkerId, irisring::Time) override {}
   void refuse(irisring::RequestId, irisring::Time) override {}
   void fail(irisring::RequestId) override {}
-  void setTimer(Lane&, irisring::Time, std::uint64_t) override {}
+  void setTimer(Cluster&, irisring::Time, std::uint64_t) override {}
   void log(const std::string&) override {}
 };
 
-// Lanes of a gatekeeper that sends to all services.
-double laneBytes(const CapacityTarget& target, const std::vector<Instance>& servers, std::size_t services) {
-  SilentLaneHost host;
+// Clusters of a gatekeeper that sends to all services.
+double clusterBytes(const CapacityTarget& target, const std::vector<Instance>& servers,
+                    std::size_t services) {
+  SilentClusterHost host;
   Kinds kinds;
   Route route;
   route.timeoutMs = route.aimMs = 1000;
@@ -228,11 +229,11 @@
   std::map<std::string, std::vector<Instance>> byService;
   for (const Instance& server : servers) byService[server.service].push_back(server);
   const std::size_t before = allocatedBytes();
-  std::vector<std::shared_ptr<Lane>> lanes;
-  lanes.reserve(services);
+  std::vector<std::shared_ptr<Cluster>> clusters;
+  clusters.reserve(services);
   for (const auto& [service, list] : byService) {
-    lanes.push_back(std::make_shared<Lane>("zona-0", kinds, target.gatekeepers, 1, 0, host));
-    lanes.back()->servers(0, list);
+    clusters.push_back(std::make_shared<Cluster>("zona-0", kinds, target.gatekeepers, 1, 0, host));
+    clusters.back()->servers(0, list);
   }
   return static_cast<double>(allocatedBytes() - before);
 }
@@ -272,8 +273,8 @@
         frame.head = json::parse(bytes);
         followAnswerOf(std::move(frame));
       }));
-  add("lanes of all services at a gatekeeper: memory", "MB",
-      laneBytes(target, servers, services) / kMegabyte);
+  add("clusters of all services at a gatekeeper: memory", "MB",
+      clusterBytes(target, servers, services) / kMegabyte);
 }
 
 // --- Shares
--- a/src/gateway/lane.cpp
+++ b/src/gateway/cluster.cpp
@@ -1,4 +1,4 @@
-#include "gateway/lane.hpp"
+#include "gateway/cluster.hpp"
 
 #include <xxhash.h>
 
@@ -46,15 +46,15 @@
   return XXH3_64bits(instanceId.data(), instanceId.size());
 }
 
-Lane::Lane(std::string zone, const Kinds& kinds, std::size_t gatekeepers, std::uint64_t salt,
-           irisring::Time now, LaneHost& host)
+Cluster::Cluster(std::string zone, const Kinds& kinds, std::size_t gatekeepers, std::uint64_t salt,
+                 irisring::Time now, ClusterHost& host)
     : zone_(std::move(zone)),
       kinds_(kinds.settings().size()),
       host_(host),
       module_(std::make_unique<irisring::Gateway>(settingsOf(kinds, gatekeepers), salt, now,
                                                   static_cast<irisring::Actions&>(*this))) {}
 
-void Lane::servers(irisring::Time now, const std::vector<Instance>& list) {
+void Cluster::servers(irisring::Time now, const std::vector<Instance>& list) {
   std::vector<irisring::Member> members;
   for (const Instance& instance : list) {
     irisring::Member member;
--- a/src/gateway/lane.hpp
+++ b/src/gateway/cluster.hpp
@@ -1,6 +1,6 @@
 // One service's servers: the decision module (include/irisring/decide.hpp) chooses among them, judges them
-// and repeats what may be repeated. A lane lives on until what it holds has ended, also where a newer one has
-// taken its place.
+// and repeats what may be repeated. A cluster lives on until what it holds has ended, also where a newer one
+// has taken its place.
 #pragma once
 
 #include <map>
@@ -14,17 +14,17 @@
 
 namespace lilacmux {
 
-class Lane;
+class Cluster;
 
-// What lanes ask of their host. None of these may call the lane back from within.
-class LaneHost {
+// What clusters ask of their host. None of these may call the cluster back from within.
+class ClusterHost {
  public:
-  virtual ~LaneHost() = default;
-  virtual void send(Lane& lane, irisring::RequestId id, irisring::WorkerId server,
+  virtual ~ClusterHost() = default;
+  virtual void send(Cluster& cluster, irisring::RequestId id, irisring::WorkerId server,
                     irisring::Time timeout) = 0;
   virtual void refuse(irisring::RequestId id, irisring::Time retryAfter) = 0;
   virtual void fail(irisring::RequestId id) = 0;
-  virtual void setTimer(Lane& lane, irisring::Time wait, std::uint64_t tag) = 0;
+  virtual void setTimer(Cluster& cluster, irisring::Time wait, std::uint64_t tag) = 0;
   virtual void log(const std::string& line) = 0;
 };
 
@@ -42,10 +42,10 @@
 // The same number at every gatekeeper.
 irisring::WorkerId numberOf(const std::string& instanceId);
 
-class Lane : public std::enable_shared_from_this<Lane>, private irisring::Actions {
+class Cluster : public std::enable_shared_from_this<Cluster>, private irisring::Actions {
  public:
-  Lane(std::string zone, const Kinds& kinds, std::size_t gatekeepers, std::uint64_t salt, irisring::Time now,
-       LaneHost& host);
+  Cluster(std::string zone, const Kinds& kinds, std::size_t gatekeepers, std::uint64_t salt,
+          irisring::Time now, ClusterHost& host);
 
   bool knows(unsigned kind) const { return kind < kinds_; }
   void servers(irisring::Time now, const std::vector<Instance>& list);  // all of the service's
@@ -63,7 +63,7 @@
 
   const std::string zone_;
   const std::size_t kinds_;
-  LaneHost& host_;
+  ClusterHost& host_;
   std::unique_ptr<irisring::Gateway> module_;
 };
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -107,7 +107,7 @@
                      [this] {
                        admission_.lost();
                        retries_.lost();
-                       lookAtParked();
+                       retryPending();
                      },
                      log_,
                      [this] {
@@ -212,7 +212,7 @@
     relaysAre_ = answer.relaysAre;
     follower_->prefer(answer.relays);
   }
-  lookAtParked();
+  retryPending();
 }
 
 void Gateway::takeConfiguration(const ChangeLog::News& news) {
@@ -261,25 +261,25 @@
       log_("a server's address cannot be read: " + instance.address);
     }
   }
-  for (const std::string& service : touched) tellLane(service);
+  for (const std::string& service : touched) updateCluster(service);
 }
 
-void Gateway::tellLane(const std::string& service) {
-  const auto lane = lanes_.find(service);
-  if (lane == lanes_.end()) return;
+void Gateway::updateCluster(const std::string& service) {
+  const auto cluster = clusters_.find(service);
+  if (cluster == clusters_.end()) return;
   std::vector<Instance> list;
   for (const auto& [id, instance] : followed_.instances())
     if (instance.service == service) list.push_back(instance);
-  lane->second->servers(now(), list);
+  cluster->second->servers(now(), list);
 }
 
-std::shared_ptr<Lane> Gateway::laneOf(const std::string& service, unsigned kind) {
-  auto& lane = lanes_[service];
-  if (lane && lane->knows(kind)) return lane;
-  lane = std::make_shared<Lane>(settings_.zone, kinds_, fleet_ > 0 ? fleet_ : kGuessedFleet,
-                                random_ ^ numberOf(service), now(), static_cast<LaneHost&>(*this));
-  tellLane(service);
-  return lane;
+std::shared_ptr<Cluster> Gateway::clusterOf(const std::string& service, unsigned kind) {
+  auto& cluster = clusters_[service];
+  if (cluster && cluster->knows(kind)) return cluster;
+  cluster = std::make_shared<Cluster>(settings_.zone, kinds_, fleet_ > 0 ? fleet_ : kGuessedFleet,
+                                      random_ ^ numberOf(service), now(), static_cast<ClusterHost&>(*this));
+  updateCluster(service);
+  return cluster;
 }
 
 }  // namespace lilacmux
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -1,5 +1,5 @@
 // The gateway role: clients' requests, admitted by their tenant's share, routed by the newest configuration,
-// carried to a server that the service's lane chooses. Sockets are the inherited ones of src/node.
+// carried to a server that the service's cluster chooses. Sockets are the inherited ones of src/node.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
@@ -14,7 +14,7 @@
 
 #include "fleet/follower.hpp"
 #include "fleet/follower_state.hpp"
-#include "gateway/lane.hpp"
+#include "gateway/cluster.hpp"
 #include "gateway/routes.hpp"
 #include "gateway/server_answers.hpp"
 #include "net/call_server.hpp"
@@ -26,7 +26,7 @@
 
 namespace lilacmux {
 
-class Gateway : private burlwind::Holder, private burlwind::AnswerSink, private LaneHost {
+class Gateway : private burlwind::RequestHandler, private burlwind::AnswerSink, private ClusterHost {
  public:
   using Log = std::function<void(const std::string&)>;
 
@@ -44,19 +44,19 @@
   using Call = burlwind::Call;
   using Time = irisring::Time;
 
-  struct Held {
-    explicit Held(boost::asio::io_context& io) : deadline(io) {}
+  struct ActiveRequest {
+    explicit ActiveRequest(boost::asio::io_context& io) : deadline(io) {}
     std::shared_ptr<const RouteTable> table;  // keeps the route
     const Route* route = nullptr;
     std::string tenant;                    // empty: none
     const std::string* service = nullptr;  // in the route
-    std::shared_ptr<Lane> lane;
+    std::shared_ptr<Cluster> cluster;
     unsigned kind = 0;
     burlwind::ClientMessage message;  // until the first attempt, which makes the next two of it
     std::string attempt;              // its id, which each answer must carry back
     std::string head;                 // as it goes on, but for the server's and the deadline's fields
     std::shared_ptr<const std::string> body;
-    std::shared_ptr<burlwind::Asker> asker;
+    std::shared_ptr<burlwind::ResponseWriter> writer;
     Time expires = 0;
     boost::asio::steady_timer deadline;
     unsigned attempts = 0;
@@ -66,24 +66,24 @@
     bool streams = false;                                            // the client has an answer's begin
     std::optional<burlwind::Answer> lastAnswer;  // a server's own failure, told if nothing better comes
   };
-  using HeldMap = std::unordered_map<RequestId, Held>;
+  using ActiveRequests = std::unordered_map<RequestId, ActiveRequest>;
   // A request whose tenant has no token here, while one is on its way.
-  struct Parked {
+  struct PendingRequest {
     RequestId id = 0;
     Time expires = 0;  // counted from when it came
     burlwind::ClientMessage message;
-    std::shared_ptr<burlwind::Asker> asker;
+    std::shared_ptr<burlwind::ResponseWriter> writer;
     std::shared_ptr<const RouteTable> table;
     const Route* route = nullptr;
     std::string tenant;
     Time until = 0;
   };
 
-  // burlwind::Holder
+  // burlwind::RequestHandler
   std::variant<burlwind::Call, burlwind::Rejection> read(const burlwind::ClientMessage& head) override;
   RequestId nextId() override { return ++lastId_; }
   void take(RequestId id, const burlwind::Call& call, burlwind::ClientMessage&& message,
-            const std::shared_ptr<burlwind::Asker>& asker) override;
+            const std::shared_ptr<burlwind::ResponseWriter>& writer) override;
   void wantsMore(RequestId id) override { pool_.more(id); }
   void left(RequestId id) override;
 
@@ -91,11 +91,11 @@
   bool begun(RequestId id, const burlwind::AnswerHead& head) override;
   void piece(RequestId id, std::string&& bytes) override;
 
-  // LaneHost
-  void send(Lane& lane, RequestId id, irisring::WorkerId server, Time timeout) override;
+  // ClusterHost
+  void send(Cluster& cluster, RequestId id, irisring::WorkerId server, Time timeout) override;
   void refuse(RequestId id, Time retryAfter) override;
   void fail(RequestId id) override;
-  void setTimer(Lane& lane, Time wait, std::uint64_t tag) override;
+  void setTimer(Cluster& cluster, Time wait, std::uint64_t tag) override;
   void log(const std::string& line) override { log_(line); }
 
   std::string status() const;
@@ -107,28 +107,28 @@
   void takeConfiguration(const ChangeLog::News& news);
   bool configure(const std::string& body);
   void servers(const FollowerState::Update& update);
-  std::shared_ptr<Lane> laneOf(const std::string& service, unsigned kind);
-  void tellLane(const std::string& service);
+  std::shared_ptr<Cluster> clusterOf(const std::string& service, unsigned kind);
+  void updateCluster(const std::string& service);
 
-  void admit(Parked&& request);
-  void refuseQuota(const Parked& request, Time wait) const;
-  void lookAtParked();
-  void sweepParked();
+  void admit(PendingRequest&& request);
+  void refuseQuota(const PendingRequest& request, Time wait) const;
+  void retryPending();
+  void sweepPending();
   void hurry();
 
   void start(RequestId id, unsigned attempt, irisring::WorkerId server, Time timeout);
   void ended(burlwind::AttemptEnd&& end);
-  static bool mayGoOn(const Held& held, burlwind::http::status status);
-  bool pays(Held& held);
-  void settle(Held& held, bool arrived);
-  void awaitBudget(irisring::Outcome outcome, std::shared_ptr<Lane> lane, unsigned looks);
+  static bool mayGoOn(const ActiveRequest& active, burlwind::http::status status);
+  bool pays(ActiveRequest& active);
+  void settle(ActiveRequest& active, bool arrived);
+  void awaitBudget(irisring::Outcome outcome, std::shared_ptr<Cluster> cluster, unsigned looks);
   void expire(RequestId id);
   void giveUpAll();
   void answer(RequestId id, burlwind::Answer answer);  // by value: it may stand in what is released
   void giveUp(RequestId id, Time retryAfter);          // the last word where no server has answered well
   void endStream(RequestId id, bool whole);
-  void release(HeldMap::iterator held, bool ran);
-  void prepare(Held& held);
+  void release(ActiveRequests::iterator found, bool ran);
+  void prepare(ActiveRequest& active);
   bool mayServe() const;
   bool maySend() const;
   Time now() const;
@@ -148,12 +148,12 @@
   std::shared_ptr<const std::string> body_;  // what it was read from: the next may come as what it changes
   bool asksUnpacked_ = false;                // what came packed last could not be unpacked
   Kinds kinds_;
-  std::map<std::string, std::shared_ptr<Lane>> lanes_;  // by service
-  FollowerState followed_;                              // the servers, and the lease
+  std::map<std::string, std::shared_ptr<Cluster>> clusters_;  // by service
+  FollowerState followed_;                                    // the servers, and the lease
   std::unordered_map<irisring::WorkerId, std::string> names_;
-  std::unordered_map<RequestId, std::shared_ptr<Lane>> out_;  // attempts under way
-  HeldMap held_;
-  std::list<Parked> parked_;  // the longest there first
+  std::unordered_map<RequestId, std::shared_ptr<Cluster>> out_;  // attempts under way
+  ActiveRequests active_;
+  std::list<PendingRequest> pending_;  // the longest there first
   Admission admission_;
   Admission retries_;  // the budgets of further tries, by service
   RateMeter requests_;
--- a/src/gateway/gateway_requests.cpp
+++ b/src/gateway/gateway_requests.cpp
@@ -63,7 +63,7 @@
 }
 
 void Gateway::take(RequestId id, const Call& call, ClientMessage&& message,
-                   const std::shared_ptr<burlwind::Asker>& asker) {
+                   const std::shared_ptr<burlwind::ResponseWriter>& writer) {
   const Time at = now();
   const Route* route = nullptr;
   const Tenant* tenant = nullptr;
@@ -72,20 +72,20 @@
     ++counts_.outOfTouch;
     Answer out = textAnswer(http::status::service_unavailable, "not in touch with the control plane");
     out.retryAfter = kNoLeaseRetryAfter;
-    return asker->answer(std::move(out));
+    return writer->answer(std::move(out));
   }
   if (table_->configuration().hasTenants) tenant = table_->holder(view(message["X-Api-Key"]));
-  Parked request{id,
-                 at + std::max(0.0, call.patience - kWayBack),
-                 std::move(message),
-                 asker,
-                 table_,
-                 route,
-                 tenant ? tenant->name : "",
-                 0};
+  PendingRequest request{id,
+                         at + std::max(0.0, call.patience - kWayBack),
+                         std::move(message),
+                         writer,
+                         table_,
+                         route,
+                         tenant ? tenant->name : "",
+                         0};
   // A version that came since the head was read may have taken the key away.
   if (!tenant && request.table->needsKey(*route))
-    return request.asker->answer(textAnswer(http::status::unauthorized, "unknown key"));
+    return request.writer->answer(textAnswer(http::status::unauthorized, "unknown key"));
   if (!tenant) return admit(std::move(request));
   const auto verdict = admission_.ask(at, tenant->name, chance());
   if (verdict.admitted) {
@@ -93,8 +93,8 @@
     admit(std::move(request));
   } else if (verdict.onItsWay) {
     request.until = std::min(at + tokenWait(*route) + inwards_.queue() + outwards_.queue(), request.expires);
-    parked_.push_back(std::move(request));
-    sweepParked();
+    pending_.push_back(std::move(request));
+    sweepPending();
   } else {
     ++counts_.over;
     refuseQuota(request, verdict.wait);
@@ -109,24 +109,24 @@
     follower_->hurry(need == Admission::Need::waiting ? FollowPace::kWaitingGap : FollowPace::kLowGap);
 }
 
-void Gateway::refuseQuota(const Parked& request, Time wait) const {
+void Gateway::refuseQuota(const PendingRequest& request, Time wait) const {
   Answer out = textAnswer(http::status::too_many_requests, "over the quota");
   out.retryAfter = wait;
-  request.asker->answer(std::move(out));
+  request.writer->answer(std::move(out));
 }
 
 // Tokens may have come, or it is known that none will.
-void Gateway::lookAtParked() {
-  std::list<Parked> looked;
-  looked.swap(parked_);
+void Gateway::retryPending() {
+  std::list<PendingRequest> looked;
+  looked.swap(pending_);
   while (!looked.empty()) {
-    Parked& request = looked.front();
+    PendingRequest& request = looked.front();
     const auto verdict = admission_.ask(now(), request.tenant, chance(), true);
     if (!verdict.admitted && verdict.onItsWay && now() < request.until) {
-      parked_.splice(parked_.end(), looked, looked.begin());
+      pending_.splice(pending_.end(), looked, looked.begin());
       continue;
     }
-    Parked out = std::move(request);
+    PendingRequest out = std::move(request);
     looked.pop_front();
     ++(verdict.admitted ? counts_.waited : now() < out.until ? counts_.over : counts_.late);
     verdict.admitted ? admit(std::move(out)) : refuseQuota(out, verdict.wait);
@@ -135,102 +135,103 @@
 }
 
 // No request waits for longer than it may, whoever is silent.
-void Gateway::sweepParked() {
-  if (parked_.empty()) return;
-  const auto first = std::min_element(parked_.begin(), parked_.end(),
-                                      [](const Parked& a, const Parked& b) { return a.until < b.until; });
+void Gateway::sweepPending() {
+  if (pending_.empty()) return;
+  const auto first =
+      std::min_element(pending_.begin(), pending_.end(),
+                       [](const PendingRequest& a, const PendingRequest& b) { return a.until < b.until; });
   sweep_.expires_after(span(std::max(0.0, first->until - now())));
   sweep_.async_wait([this](const burlwind::Error& error) {
     if (error) return;
-    for (auto it = parked_.begin(); it != parked_.end();) {
+    for (auto it = pending_.begin(); it != pending_.end();) {
       if (it->until > now()) {
         ++it;
         continue;
       }
-      const Parked late = std::move(*it);
-      it = parked_.erase(it);
+      const PendingRequest late = std::move(*it);
+      it = pending_.erase(it);
       ++counts_.late;
       refuseQuota(late, kRetryAfter);
     }
-    sweepParked();
+    sweepPending();
   });
 }
 
-void Gateway::admit(Parked&& in) {
+void Gateway::admit(PendingRequest&& in) {
   const Time at = now();
   const RequestId id = in.id;
-  Held& held = held_.try_emplace(id, io_).first->second;
-  held.table = std::move(in.table);
-  held.route = in.route;
-  held.tenant = std::move(in.tenant);
-  held.kind = kinds_.of(*held.route);
-  held.service = &RouteTable::pickService(*held.route, chance());
-  held.lane = laneOf(*held.service, held.kind);
-  requests_.count(*held.service);
-  held.message = std::move(in.message);
-  held.asker = std::move(in.asker);
-  held.expires = in.expires;
-  held.deadline.expires_after(span(held.expires - at));
-  held.deadline.async_wait([this, id](const burlwind::Error& error) {
+  ActiveRequest& active = active_.try_emplace(id, io_).first->second;
+  active.table = std::move(in.table);
+  active.route = in.route;
+  active.tenant = std::move(in.tenant);
+  active.kind = kinds_.of(*active.route);
+  active.service = &RouteTable::pickService(*active.route, chance());
+  active.cluster = clusterOf(*active.service, active.kind);
+  requests_.count(*active.service);
+  active.message = std::move(in.message);
+  active.writer = std::move(in.writer);
+  active.expires = in.expires;
+  active.deadline.expires_after(span(active.expires - at));
+  active.deadline.async_wait([this, id](const burlwind::Error& error) {
     if (!error) expire(id);
   });
   irisring::Request request;
   request.id = id;
-  request.klass = held.kind;
-  request.expires = held.expires;
-  const auto lane = held.lane;
-  lane->module().request(at, request);
+  request.klass = active.kind;
+  request.expires = active.expires;
+  const auto cluster = active.cluster;
+  cluster->module().request(at, request);
 }
 
 void Gateway::left(RequestId id) {
-  std::erase_if(parked_, [&](const Parked& request) { return request.id == id; });
-  const auto found = held_.find(id);
-  if (found == held_.end()) return;
-  const auto lane = found->second.lane;
+  std::erase_if(pending_, [&](const PendingRequest& request) { return request.id == id; });
+  const auto found = active_.find(id);
+  if (found == active_.end()) return;
+  const auto cluster = found->second.cluster;
   release(found, true);
-  lane->module().clientLeft(now(), id);
+  cluster->module().clientLeft(now(), id);
   if (auto end = pool_.giveUp(id, Result::cancelled)) ended(std::move(*end));
 }
 
 // The time is up: an attempt that is out has timed out, and the answer goes out now.
 void Gateway::expire(RequestId id) {
-  const auto found = held_.find(id);
-  if (found == held_.end()) return;
-  const auto lane = found->second.lane;
+  const auto found = active_.find(id);
+  if (found == active_.end()) return;
+  const auto cluster = found->second.cluster;
   if (auto end = pool_.giveUp(id, Result::timeout)) {
     found->second.mayHaveRun = found->second.mayHaveRun || ranOf(end->outcome.result);
     out_.erase(id);
     end->outcome.finished = false;
-    lane->module().outcome(std::max(now(), found->second.expires), end->outcome);
+    cluster->module().outcome(std::max(now(), found->second.expires), end->outcome);
   }
-  if (held_.contains(id)) giveUp(id, kRetryAfter);
-  lane->module().clientLeft(now(), id);
+  if (active_.contains(id)) giveUp(id, kRetryAfter);
+  cluster->module().clientLeft(now(), id);
 }
 
 void Gateway::giveUpAll() {
-  for (const Parked& request : std::exchange(parked_, {})) refuseQuota(request, kRetryAfter);
-  while (!held_.empty()) {
-    const RequestId id = held_.begin()->first;
-    const auto lane = held_.begin()->second.lane;
+  for (const PendingRequest& request : std::exchange(pending_, {})) refuseQuota(request, kRetryAfter);
+  while (!active_.empty()) {
+    const RequestId id = active_.begin()->first;
+    const auto cluster = active_.begin()->second.cluster;
     if (auto end = pool_.giveUp(id, Result::cancelled)) {
-      held_.at(id).mayHaveRun = held_.at(id).mayHaveRun || ranOf(end->outcome.result);
+      active_.at(id).mayHaveRun = active_.at(id).mayHaveRun || ranOf(end->outcome.result);
       out_.erase(id);
       end->outcome.finished = true;
-      lane->module().outcome(now(), end->outcome);
+      cluster->module().outcome(now(), end->outcome);
     }
-    if (held_.contains(id)) giveUp(id, kRetryAfter);
-    lane->module().clientLeft(now(), id);
+    if (active_.contains(id)) giveUp(id, kRetryAfter);
+    cluster->module().clientLeft(now(), id);
   }
 }
 
 // 503 promises that the request has not run and never will; where that is not known, nothing is promised.
 void Gateway::giveUp(RequestId id, Time retryAfter) {
-  const auto found = held_.find(id);
-  if (found == held_.end()) return;
-  Held& held = found->second;
-  if (held.lastAnswer) return answer(id, std::move(*held.lastAnswer));
-  if (held.mayHaveRun) {
-    const bool late = now() >= held.expires;
+  const auto found = active_.find(id);
+  if (found == active_.end()) return;
+  ActiveRequest& active = found->second;
+  if (active.lastAnswer) return answer(id, std::move(*active.lastAnswer));
+  if (active.mayHaveRun) {
+    const bool late = now() >= active.expires;
     return answer(id, late ? textAnswer(http::status::gateway_timeout, "no answer in time")
                            : textAnswer(http::status::bad_gateway, "no whole answer"));
   }
@@ -241,20 +242,21 @@
 }
 
 void Gateway::answer(RequestId id, Answer answer) {
-  const auto found = held_.find(id);
-  if (found == held_.end()) return;
+  const auto found = active_.find(id);
+  if (found == active_.end()) return;
   if (found->second.streams) return endStream(id, false);  // too late for another
-  const auto asker = std::move(found->second.asker);
+  const auto writer = std::move(found->second.writer);
   const bool ran = found->second.mayHaveRun;
   release(found, ran);
-  asker->answer(std::move(answer));
+  writer->answer(std::move(answer));
 }
 
-void Gateway::release(HeldMap::iterator held, bool ran) {
-  if (held->second.further == Held::Further::paid) retries_.ended(now(), *held->second.service, false);
-  settle(held->second, true);
-  if (!held->second.tenant.empty()) admission_.ended(now(), held->second.tenant, ran);
-  held_.erase(held);
+void Gateway::release(ActiveRequests::iterator found, bool ran) {
+  if (found->second.further == ActiveRequest::Further::paid)
+    retries_.ended(now(), *found->second.service, false);
+  settle(found->second, true);
+  if (!found->second.tenant.empty()) admission_.ended(now(), found->second.tenant, ran);
+  active_.erase(found);
 }
 
 }  // namespace lilacmux
--- a/src/gateway/gateway_status.cpp
+++ b/src/gateway/gateway_status.cpp
@@ -15,8 +15,8 @@
     ++counts[instance.service].listed;
     counts[instance.service].draining += instance.draining;
   }
-  for (const auto& [name, lane] : lanes_)
-    if (lane) counts[name].avoided = lane->module().pool(now()).avoided;
+  for (const auto& [name, cluster] : clusters_)
+    if (cluster) counts[name].avoided = cluster->module().pool(now()).avoided;
   nlohmann::json services = nlohmann::json::object();
   for (const auto& [name, count] : counts)
     services[name] = {{"listed", count.listed}, {"draining", count.draining}, {"avoided", count.avoided}};
@@ -30,7 +30,7 @@
       {"lease_ms", followed_.leaseLeft(now())},
       {"log", {{"epoch", epochText(followed_.epoch())}, {"place", followed_.position().place}}},
       {"gatekeepers", fleet_},
-      {"held", held_.size() + parked_.size()},
+      {"held", active_.size() + pending_.size()},
       {"services", services}};
   return out.dump() + "\n";
 }
@@ -58,7 +58,7 @@
               static_cast<double>(counts_.outOfTouch));
   out.counter("lilacmux_no_server_total", "Requests that no server could take",
               static_cast<double>(counts_.noServer));
-  out.gauge("lilacmux_held", "Requests held now", static_cast<double>(held_.size() + parked_.size()));
+  out.gauge("lilacmux_held", "Requests held now", static_cast<double>(active_.size() + pending_.size()));
   out.gauge("lilacmux_server_connections", "Connections to servers",
             static_cast<double>(pool_.connections()));
   out.gauge("lilacmux_client_connections", "Connections of clients",
@@ -71,9 +71,9 @@
   out.gauge("lilacmux_revision", "The configuration in force",
             table_ ? static_cast<double>(table_->revision()) : 0);
   out.gauge("lilacmux_ready", "Whether new clients are wanted", ready());
-  for (const auto& [name, lane] : lanes_) {
-    if (!lane) continue;
-    const auto pool = lane->module().pool(now());
+  for (const auto& [name, cluster] : clusters_) {
+    if (!cluster) continue;
+    const auto pool = cluster->module().pool(now());
     out.gauge("lilacmux_servers", "Servers of a service, as listed", static_cast<double>(pool.listed),
               {{"service", name}});
     out.gauge("lilacmux_servers_avoided", "Servers that are sent to only where there is no other",
--- a/src/node/client_server.cpp
+++ b/src/node/client_server.cpp
@@ -66,7 +66,7 @@
 }  // namespace
 
 // A request read ahead of its turn. What comes of it stands here until then.
-class ClientServer::Ahead : public Asker {
+class ClientServer::Ahead : public ResponseWriter {
  public:
   Ahead(std::shared_ptr<Connection> connection, irisring::RequestId number, const Call& what)
       : id(number), call(what), connection_(std::move(connection)) {}
@@ -96,7 +96,7 @@
 
 // One client connection: requests are answered in the order in which they come. A request is checked by its
 // head, so that what is wrong is turned away before its body has come; the connection ends with that.
-class ClientServer::Connection : public Asker, public std::enable_shared_from_this<Connection> {
+class ClientServer::Connection : public ResponseWriter, public std::enable_shared_from_this<Connection> {
  public:
   Connection(ClientServer& server, tcp::socket socket)
       : server_(server), socket_(std::move(socket)), timer_(socket_.get_executor()), bytes_(server.budget_) {}
@@ -164,7 +164,7 @@
     if (state_ != State::streaming) return;
     if (call_) server_.figures_.broken(call_->klass);
     resetAtEnd(true);
-    state_ = State::answering;  // the holder knows
+    state_ = State::answering;  // the handler knows
     close();
   }
 
@@ -175,11 +175,11 @@
     const auto ahead = std::move(ahead_);
     abandon();
     server_.remove(standing_, at_);
-    if (held) server_.holder_.left(id_);
+    if (held) server_.handler_.left(id_);
     for (const auto& each : ahead) {
       const bool open = !each->ended();
       each->forget();
-      if (open) server_.holder_.left(each->id);
+      if (open) server_.handler_.left(each->id);
     }
   }
 
@@ -337,12 +337,12 @@
   bool ending() const { return server_.draining_ || server_.away_ || server_.retired_; }
 
   bool isHealth(const ClientMessage& message) const {
-    return server_.holder_.asksReadiness(message) && plainFraming(message);
+    return server_.handler_.asksReadiness(message) && plainFraming(message);
   }
 
   // Reads the head as one of the service, or rejects it.
   bool call(const ClientMessage& message) {
-    const auto read = server_.holder_.read(message);
+    const auto read = server_.handler_.read(message);
     if (const auto* wrong = std::get_if<Rejection>(&read)) return reject(*wrong), false;
     call_ = std::get<Call>(read);
     return true;
@@ -372,8 +372,8 @@
     const auto at = arrivals_.of(received_ - in_.size(), readAt_);
     call_->patience -= std::chrono::duration<double, std::milli>(Clock::now() - at).count();
     state_ = State::held;
-    id_ = server_.holder_.nextId();
-    server_.holder_.take(id_, *call_, std::move(message), shared_from_this());
+    id_ = server_.handler_.nextId();
+    server_.handler_.take(id_, *call_, std::move(message), shared_from_this());
     lookAhead();
   }
 
@@ -390,16 +390,16 @@
       if (error || !parser.is_done()) return;  // it waits for its turn, where what is wrong is told
       const ClientMessage& message = parser.get();
       if (!message.keep_alive() || message.version() < 11 || message.method() != http::verb::get) return;
-      const auto read = server_.holder_.read(message);
+      const auto read = server_.handler_.read(message);
       const auto* call = std::get_if<Call>(&read);
       if (!call || !call->repeatable || isHealth(message)) return;
       in_.consume(used);
       Call mine = *call;
       const auto came = arrivals_.of(received_ - in_.size(), readAt_);
       mine.patience -= std::chrono::duration<double, std::milli>(Clock::now() - came).count();
-      const auto next = std::make_shared<Ahead>(shared_from_this(), server_.holder_.nextId(), mine);
+      const auto next = std::make_shared<Ahead>(shared_from_this(), server_.handler_.nextId(), mine);
       ahead_.push_back(next);
-      server_.holder_.take(next->id, mine, parser.release(), next);
+      server_.handler_.take(next->id, mine, parser.release(), next);
     }
   }
 
@@ -420,7 +420,7 @@
   void sayReady(http::verb method) {
     if (method != http::verb::get) return reject({http::status::method_not_allowed, "only GET"});
     const bool leaving = server_.draining_ && !server_.retired_;  // retired, its address is served
-    const bool ready = server_.holder_.ready() && !leaving && !server_.away_;
+    const bool ready = server_.handler_.ready() && !leaving && !server_.away_;
     say(ready ? http::status::ok : http::status::service_unavailable, ready ? "ready" : "not ready");
   }
 
@@ -429,7 +429,7 @@
     say(why.status, why.why);
   }
 
-  // An answer from here: the request never reaches the holder.
+  // An answer from here: the request never reaches the handler.
   void say(http::status status, std::string_view what, irisring::Time retryAfter = 0) {
     state_ = State::held;
     Answer text;
@@ -484,7 +484,7 @@
   void partWritten() {
     timer_.cancel();
     body_ = {};
-    server_.holder_.wantsMore(id_);
+    server_.handler_.wantsMore(id_);
   }
 
   void written() {
@@ -577,12 +577,12 @@
 }
 
 ClientServer::ClientServer(asio::io_context& io, const tcp::endpoint& address, const Limits& limits,
-                           Budget& budget, Figures& figures, Holder& holder)
+                           Budget& budget, Figures& figures, RequestHandler& handler)
     : address_(address),
       limits_(limits),
       budget_(budget),
       figures_(figures),
-      holder_(holder),
+      handler_(handler),
       acceptor_(io),
       pause_(io),
       sweep_(io),
--- a/src/node/client_server.hpp
+++ b/src/node/client_server.hpp
@@ -29,13 +29,13 @@
   irisring::Time retryAfter = 0;  // ms; 0: no advice
 };
 
-// The connection that a request came on, as its holder sees it.
-class Asker {
+// The connection that a request came on, as its handler sees it.
+class ResponseWriter {
  public:
-  virtual ~Asker() = default;
+  virtual ~ResponseWriter() = default;
   // The final answer, once for each request held.
   virtual void answer(Answer&& answer) = 0;
-  // Or a large one: its begin, its pieces, each of which the holder is asked for, and its end.
+  // Or a large one: its begin, its pieces, each of which the handler is asked for, and its end.
   virtual void begin(const AnswerHead& head) = 0;
   virtual void piece(std::string&& bytes) = 0;
   virtual void finish() = 0;
@@ -43,18 +43,18 @@
 };
 
 // What takes the requests.
-class Holder {
+class RequestHandler {
  public:
-  virtual ~Holder() = default;
+  virtual ~RequestHandler() = default;
   virtual bool ready() const = 0;
   // By the head alone, and once more with the body: what is asked, or why it is turned away.
   virtual std::variant<Call, Rejection> read(const ClientMessage& head) = 0;
   // Whether it asks for readiness, at this address.
   virtual bool asksReadiness(const ClientMessage&) const { return false; }
-  // The asker is answered once, maybe before this returns.
+  // The writer is answered once, maybe before this returns.
   virtual irisring::RequestId nextId() = 0;
   virtual void take(irisring::RequestId id, const Call& call, ClientMessage&& message,
-                    const std::shared_ptr<Asker>& asker) = 0;
+                    const std::shared_ptr<ResponseWriter>& writer) = 0;
   // The last piece, or the answer's begin, is through: the next may come.
   virtual void wantsMore(irisring::RequestId id) = 0;
   // The client has gone; no answer is wanted.
@@ -88,7 +88,7 @@
   };
 
   ClientServer(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& address,
-               const Limits& limits, Budget& budget, Figures& figures, Holder& holder);
+               const Limits& limits, Budget& budget, Figures& figures, RequestHandler& handler);
   ~ClientServer();
   ClientServer(const ClientServer&) = delete;
   ClientServer& operator=(const ClientServer&) = delete;
@@ -146,7 +146,7 @@
   Limits limits_;
   Budget& budget_;
   Figures& figures_;
-  Holder& holder_;
+  RequestHandler& handler_;
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer pause_, sweep_;
   std::array<Connections, 3> connections_;               // by standing; the longest so first
--- a/src/node/gatekeeper.cpp
+++ b/src/node/gatekeeper.cpp
@@ -332,14 +332,14 @@
 }
 
 void Gatekeeper::take(RequestId id, const Call& call, ClientMessage&& message,
-                      const std::shared_ptr<Asker>& asker) {
+                      const std::shared_ptr<ResponseWriter>& writer) {
   const Time now = clock_.now();
   Held& held = held_.try_emplace(id, io_).first->second;
   held.clientsId = call.id;
   held.klass = call.klass;
   clientsIds_.insert(call.id);
   held.message = std::move(message);
-  held.asker = asker;
+  held.writer = writer;
   held.expires = now + std::max(0.0, call.patience - kWayBack);
   held.deadline.expires_after(span(held.expires - now));
   held.deadline.async_wait([this, id](const Error& error) {
@@ -403,9 +403,9 @@
 
 void Gatekeeper::endStream(RequestId id, bool whole) {
   const auto found = held_.find(id);
-  const auto asker = std::move(found->second.asker);
+  const auto writer = std::move(found->second.writer);
   release(found);
-  whole ? asker->finish() : asker->breakOff();
+  whole ? writer->finish() : writer->breakOff();
 }
 
 // --- From discovery --------------------------------------------------------------------------------------
@@ -499,9 +499,9 @@
   const auto found = held_.find(id);
   if (found == held_.end()) return;
   if (found->second.streams) return endStream(id, false);  // too late for another
-  const auto asker = std::move(found->second.asker);
+  const auto writer = std::move(found->second.writer);
   release(found);
-  asker->answer(std::move(answer));
+  writer->answer(std::move(answer));
 }
 
 void Gatekeeper::release(std::unordered_map<RequestId, Held>::iterator held) {
--- a/src/node/gatekeeper.hpp
+++ b/src/node/gatekeeper.hpp
@@ -37,7 +37,7 @@
 };
 
 class Gatekeeper : private irisring::Actions,
-                   private Holder,
+                   private RequestHandler,
                    private Operator,
                    private Heir,
                    private AnswerSink {
@@ -66,19 +66,19 @@
     ClientMessage message;  // until the first attempt, which makes the next two of it
     std::string head;       // as it goes on, but for the deadline
     std::shared_ptr<const std::string> body;
-    std::shared_ptr<Asker> asker;
+    std::shared_ptr<ResponseWriter> writer;
     irisring::Time expires = 0;
     boost::asio::steady_timer deadline;
     unsigned attempts = 0;
     bool streams = false;  // the client has an answer's begin
   };
 
-  // Holder
+  // RequestHandler
   std::variant<Call, Rejection> read(const ClientMessage& head) override;
   bool asksReadiness(const ClientMessage& head) const override { return head.target() == "/health/ready"; }
   irisring::RequestId nextId() override { return ++lastId_; }
   void take(irisring::RequestId id, const Call& call, ClientMessage&& message,
-            const std::shared_ptr<Asker>& asker) override;
+            const std::shared_ptr<ResponseWriter>& writer) override;
   void wantsMore(irisring::RequestId id) override { pool_.more(id); }
   void left(irisring::RequestId id) override;
 
--- a/src/node/held_steps.hpp
+++ b/src/node/held_steps.hpp
@@ -1,5 +1,5 @@
-// What every holder of requests does alike with the answers that stream and with tries that have no time
-// left. `HeldMap` goes by request; what it holds has `streams`, `deadline` and `asker`.
+// What every handler of requests does alike with the answers that stream and with tries that have no time
+// left. `HeldMap` goes by request; what it holds has `streams`, `deadline` and `writer`.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
@@ -20,14 +20,14 @@
   if (found == held.end()) return false;
   found->second.streams = true;
   found->second.deadline.cancel();
-  found->second.asker->begin(head);
+  found->second.writer->begin(head);
   return true;
 }
 
 template <class HeldMap>
 void passPiece(HeldMap& held, irisring::RequestId id, std::string&& bytes) {
   const auto found = held.find(id);
-  if (found != held.end()) found->second.asker->piece(std::move(bytes));
+  if (found != held.end()) found->second.writer->piece(std::move(bytes));
 }
 
 // No time is left for the attempt: nothing is sent, and the module learns so from a handler of its own.
--- a/tests/bad_clients_test.cpp
+++ b/tests/bad_clients_test.cpp
@@ -166,7 +166,7 @@
   EXPECT_GT(holder.call.patience, 59000);
   const auto begin = std::chrono::steady_clock::now();
   until([&] { return std::chrono::steady_clock::now() > begin + 100ms; }, "some time");
-  holder.asker->answer({});
+  holder.writer->answer({});
   until([&] { return holder.last == 2; }, "the second request");
   EXPECT_LE(holder.call.patience, 59900);
   EXPECT_EQ(holder.call.id, 0xa2u);
--- a/tests/link_test.cpp
+++ b/tests/link_test.cpp
@@ -114,12 +114,12 @@
   void answer(const PeerPtr& client, const std::string& id, std::size_t size) {
     Ask ask;
     ask.id = id;
-    holder.asker.reset();
+    holder.writer.reset();
     client->send(ask.text());
-    until([&] { return holder.asker != nullptr; }, "the request");
+    until([&] { return holder.writer != nullptr; }, "the request");
     Answer out;
     out.body.assign(size, 'y');
-    holder.asker->answer(std::move(out));
+    holder.writer->answer(std::move(out));
   }
   LinkGate gate{io, kSlow};
 };
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -61,11 +61,11 @@
   open({});
   const auto client = dial(server->address());
   client->send(Ask().text());
-  until([&] { return holder.asker != nullptr; }, "a held request");
+  until([&] { return holder.writer != nullptr; }, "a held request");
   Answer answer;
   answer.body = "only";
-  holder.asker->answer(Answer(answer));
-  holder.asker->answer(Answer(answer));
+  holder.writer->answer(Answer(answer));
+  holder.writer->answer(Answer(answer));
   until([&] { return client->has("only"); }, "the answer");
   client->send("GET /health/ready HTTP/1.1\r\nHost: b\r\n\r\n");
   until([&] { return client->has("ready"); }, "the next answer");
--- a/tests/pipelining_test.cpp
+++ b/tests/pipelining_test.cpp
@@ -16,11 +16,12 @@
   return out;
 }
 
-// A holder that keeps every asker, so that the test answers in any order.
+// A holder that keeps every writer, so that the test answers in any order.
 struct Keeps : Silent {
-  void take(irisring::RequestId, const Call& c, ClientMessage&&, const std::shared_ptr<Asker>& a) override {
+  void take(irisring::RequestId, const Call& c, ClientMessage&&,
+            const std::shared_ptr<ResponseWriter>& a) override {
     calls.push_back(c.id);
-    askers.push_back(a);
+    writers.push_back(a);
   }
   std::variant<Call, Rejection> read(const ClientMessage& head) override {
     auto out = readCall(head, *config);
@@ -28,7 +29,7 @@
     return out;
   }
   std::vector<std::uint64_t> calls;
-  std::vector<std::shared_ptr<Asker>> askers;
+  std::vector<std::shared_ptr<ResponseWriter>> writers;
 };
 
 class Pipelining : public Loopback {
@@ -63,13 +64,13 @@
   client->send(ask(2));
   // Read ahead, but not handed over: one more turn of the loop takes it in.
   until([&] { return io.poll() == 0; }, "the second is read");
-  holder.askers[0]->answer(answerOf("one"));
+  holder.writers[0]->answer(answerOf("one"));
   untilHeld(2);
   client->send(ask(3));
   until([&] { return io.poll() == 0; }, "the third is read");
-  holder.askers[1]->answer(answerOf("two"));
+  holder.writers[1]->answer(answerOf("two"));
   untilHeld(3);
-  holder.askers[2]->answer(answerOf("three"));
+  holder.writers[2]->answer(answerOf("three"));
   until([&] { return client->has("three"); }, "three answers");
   EXPECT_EQ(holder.calls, (std::vector<std::uint64_t>{1, 2, 3}));
   EXPECT_LT(client->got.find("one"), client->got.find("two"));
@@ -80,16 +81,16 @@
   open(4);
   client->send(ask(1) + ask(2) + ask(3));
   untilHeld(3);
-  holder.askers[2]->answer(answerOf("three"));
+  holder.writers[2]->answer(answerOf("three"));
   AnswerHead head;
   head.length = 3;
-  holder.askers[1]->begin(head);
-  holder.askers[1]->piece("two");
+  holder.writers[1]->begin(head);
+  holder.writers[1]->piece("two");
   EXPECT_EQ(client->got, "");
-  holder.askers[0]->answer(answerOf("one"));
+  holder.writers[0]->answer(answerOf("one"));
   until([&] { return holder.wanted == 1; }, "the piece is through");
   EXPECT_FALSE(client->has("three"));
-  holder.askers[1]->finish();
+  holder.writers[1]->finish();
   until([&] { return client->has("three"); }, "three answers");
   EXPECT_LT(client->got.find("one"), client->got.find("two"));
   EXPECT_LT(client->got.find("two"), client->got.find("three"));
@@ -104,7 +105,7 @@
   untilHeld(1);
   until([&] { return io.poll() == 0; }, "all is read");
   EXPECT_EQ(holder.calls.size(), 1u);
-  holder.askers[0]->answer(answerOf("one"));
+  holder.writers[0]->answer(answerOf("one"));
   untilHeld(3);
   EXPECT_EQ(holder.calls, (std::vector<std::uint64_t>{1, 2, 3}));
 }
@@ -113,7 +114,7 @@
   open(4);
   client->send(ask(1) + ask(2) + ask(3));
   untilHeld(3);
-  holder.askers[1]->answer(answerOf("two"));
+  holder.writers[1]->answer(answerOf("two"));
   client->end();
   until([&] { return holder.gone == 2; }, "those without an answer are given up");
 }
--- a/tests/sides.hpp
+++ b/tests/sides.hpp
@@ -5,7 +5,7 @@
 
 namespace burlwind::test {
 
-struct Silent : Holder {  // never answers
+struct Silent : RequestHandler {  // never answers
   bool ready() const override { return true; }
   std::variant<Call, Rejection> read(const ClientMessage& head) override {
     auto out = readCall(head, *config);
@@ -15,10 +15,11 @@
   }
   bool asksReadiness(const ClientMessage& head) const override { return head.target() == "/health/ready"; }
   irisring::RequestId nextId() override { return ++last; }
-  void take(irisring::RequestId, const Call& c, ClientMessage&&, const std::shared_ptr<Asker>& a) override {
+  void take(irisring::RequestId, const Call& c, ClientMessage&&,
+            const std::shared_ptr<ResponseWriter>& a) override {
     held.insert(c.id);
     call = c;
-    asker = a;
+    writer = a;
   }
   void wantsMore(irisring::RequestId) override { ++wanted; }
   void left(irisring::RequestId) override { ++gone, held.clear(); }
@@ -27,7 +28,7 @@
   int gone = 0, wanted = 0;
   Call call;
   std::unordered_set<std::uint64_t> held;
-  std::shared_ptr<Asker> asker;
+  std::shared_ptr<ResponseWriter> writer;
 };
 
 class Clients : public Loopback {
