Accept a crowd at once, and pack the list of servers once for all that need it whole

Cause, from a trial with counts in the log: an acceptor took one connection in each turn of its loop; a turn of a busy relay took 60 to 100 ms, so some 10 to 16 connections a second came in while hundreds waited, gave up and came again. The turns were long as whole lists of 809 servers were written for one gatekeeper after another: 28,000 to 53,000 entries a second. Change: an acceptor takes up to 64 that wait with the first. A list that goes whole is written and packed once for all followers at the same position.

--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -312,13 +312,15 @@
   if (message) replica_->receive(now(), *message);
 }
 
-// A follower's call, and its configuration in the shape and at the time in which it can be sent.
+// A follower's call, and what is large in its answer in the shape and at the time in which it can be sent.
 FollowAnswer ControlNode::follow(const FollowCall& call) {
   FollowAnswer out = call.address.empty() ? relayed(call) : feed(call);
   if (out.news.configuration && call.unpacks) {
     packer_.take(out.news.revision, out.news.configuration);
     out.news.packed = packer_.pack(out.news.revision, call.revision);
   }
+  if (out.news.snapshot && call.unpacks)
+    out.news.packedSet = snapshots_.pack({out.epoch, out.news.place}, out.news.set);
   bulk_.pace(now(), call, out);
   return out;
 }
--- a/src/control/node.hpp
+++ b/src/control/node.hpp
@@ -23,6 +23,7 @@
 #include "fleet/platform.hpp"
 #include "fleet/primary.hpp"
 #include "fleet/relay.hpp"
+#include "fleet/snapshot_pack.hpp"
 #include "net/call_server.hpp"
 #include "net/frames.hpp"
 #include "settings/settings.hpp"
@@ -108,6 +109,7 @@
   std::unique_ptr<PlatformWatch> watch_;  // while primary
   Relay relay_;
   ConfigurationPacker packer_;
+  SnapshotPacker snapshots_;
   BulkPacer bulk_;
   std::unique_ptr<Follower> follower_;     // the relay's, of the primary
   std::optional<std::uint64_t> coreTold_;  // to it: the epoch of the view
--- a/src/experiment/capacity.cpp
+++ b/src/experiment/capacity.cpp
@@ -11,6 +11,7 @@
 #include "control/configuration_register.hpp"
 #include "experiment/measure.hpp"
 #include "fleet/change_log.hpp"
+#include "fleet/configuration_pack.hpp"
 #include "fleet/platform.hpp"
 #include "fleet/wire.hpp"
 #include "gateway/cluster.hpp"
@@ -174,6 +175,32 @@
 }
 
 // A whole state, as the primary sends it to each backup for each change.
+// The same body with one field another, to one that has the first and to one that has none.
+void measurePacking(Table& table, const Shape& shape) {
+  const auto body =
+      std::make_shared<const std::string>(exampleConfiguration(shape.routes, shape.tenants, shape.services));
+  std::string changed = *body;
+  changed[changed.size() / 2] ^= 1;
+  const auto next = std::make_shared<const std::string>(std::move(changed));
+  const auto size = static_cast<double>(shape.size);
+  const auto add = [&](const char* what, const char* unit, double value) {
+    table.add("configuration by " + shape.name + ": " + what, unit, shape.name, size, value);
+  };
+  const auto packed = [&](std::uint64_t base) {
+    ConfigurationPacker packer;
+    packer.take(1, body);
+    packer.take(2, next);
+    return packer.pack(2, base);
+  };
+  std::shared_ptr<const PackedConfiguration> whole, change;
+  add("packing it whole", "ms", medianProcessorMs(kRuns, [&] { whole = packed(0); }));
+  add("packed whole", "MB", static_cast<double>(whole->bytes.size()) / kMegabyte);
+  add("packing a change", "ms", medianProcessorMs(kRuns, [&] { change = packed(1); }));
+  add("packed change", "KB", static_cast<double>(change->bytes.size()) / 1e3);
+  add("unpacking a change", "ms",
+      medianProcessorMs(kRuns, [&] { unpackConfiguration(*change, 1, body.get()); }));
+}
+
 void measureSync(Table& table, const CapacityTarget& target, double of) {
   const std::string body =
       exampleConfiguration(part(target.routes, of), part(target.tenants, of), part(target.services, of));
@@ -435,6 +462,8 @@
     const std::size_t routes = part(target.routes, of), tenants = part(target.tenants, of);
     measureConfiguration(table, {"routes", routes, routes, 0, part(target.services, of)});
     measureConfiguration(table, {"tenants", tenants, 1, tenants, 1});
+    measurePacking(table, {"parts of the whole", static_cast<std::size_t>(of * 64), routes, tenants,
+                           part(target.services, of)});
     measureConfiguration(table, {"parts of the whole", static_cast<std::size_t>(of * 64), routes, tenants,
                                  part(target.services, of)});
     measureSync(table, target, of);
--- a/src/fleet/change_log.cpp
+++ b/src/fleet/change_log.cpp
@@ -122,7 +122,7 @@
 
 std::shared_ptr<const std::string> ChangeLog::News::configurationFor(std::uint64_t has,
                                                                      const std::string* body) const {
-  return packed ? unpack(*packed, has, body) : configuration;
+  return packed ? unpackConfiguration(*packed, has, body) : configuration;
 }
 
 ChangeLog::News ChangeLog::since(const ListPosition& at, std::uint64_t revision) const {
--- a/src/fleet/change_log.hpp
+++ b/src/fleet/change_log.hpp
@@ -77,6 +77,7 @@
     std::uint64_t place = 0;  // the follower goes on from here
     bool snapshot = false;    // the servers are all there are
     std::vector<Instance> set;
+    std::shared_ptr<const Packed> packedSet;  // in place of `set`, for one that unpacks
     std::vector<std::string> gone;
     bool servers = false;                               // whether `set` and `gone` say anything
     std::shared_ptr<const std::string> configuration;   // if newer than the follower's
--- a/src/fleet/configuration_pack.cpp
+++ b/src/fleet/configuration_pack.cpp
@@ -11,8 +11,8 @@
 namespace {
 
 constexpr int kLevel = 3;
-constexpr std::size_t kMostBody = 16 << 20;  // as of a frame
-constexpr int kLeastWindow = 10;             // log2 of bytes, the least that the format has
+constexpr std::size_t kMostUnpacked = 64 << 20;  // bytes
+constexpr int kLeastWindow = 10;                 // log2 of bytes, the least that the format has
 
 struct FreeContext {
   void operator()(ZSTD_CCtx* context) const { ZSTD_freeCCtx(context); }
@@ -79,24 +79,30 @@
   auto& packed = packed_[{revision, prefix ? base : 0}];
   if (packed) return packed;
   auto made = std::make_shared<PackedConfiguration>();
+  static_cast<Packed&>(*made) = lilacmux::pack(*version->body, prefix ? prefix->body.get() : nullptr);
   made->base = prefix ? base : 0;
-  made->size = version->body->size();
-  made->check = XXH3_64bits(version->body->data(), version->body->size());
-  made->bytes = compress(*version->body, prefix ? prefix->body.get() : nullptr);
   packed = std::move(made);
   return packed;
 }
 
-std::shared_ptr<const std::string> unpack(const PackedConfiguration& packed, std::uint64_t revision,
-                                          const std::string* body) {
-  if (packed.size > kMostBody) return nullptr;
-  if (packed.base != 0 && (packed.base != revision || !body)) return nullptr;
+std::shared_ptr<const std::string> unpackConfiguration(const PackedConfiguration& packed,
+                                                       std::uint64_t revision, const std::string* body) {
+  if (packed.base == 0) return unpack(packed, nullptr);
+  return packed.base == revision && body ? unpack(packed, body) : nullptr;
+}
+
+Packed pack(const std::string& text, const std::string* prefix) {
+  return {text.size(), XXH3_64bits(text.data(), text.size()), compress(text, prefix)};
+}
+
+std::shared_ptr<const std::string> unpack(const Packed& packed, const std::string* prefix) {
+  if (packed.size > kMostUnpacked) return nullptr;
   const std::unique_ptr<ZSTD_DCtx, FreeContext> context(ZSTD_createDCtx());
   if (!context) throw std::bad_alloc();
-  if (packed.base != 0) {
-    const int window = windowFor(packed.size + body->size());
+  if (prefix) {
+    const int window = windowFor(packed.size + prefix->size());
     checked(ZSTD_DCtx_setParameter(context.get(), ZSTD_d_windowLogMax, window));
-    checked(ZSTD_DCtx_refPrefix(context.get(), body->data(), body->size()));
+    checked(ZSTD_DCtx_refPrefix(context.get(), prefix->data(), prefix->size()));
   }
   auto out = std::make_shared<std::string>(packed.size, '\0');
   const std::size_t got =
--- a/src/fleet/configuration_pack.hpp
+++ b/src/fleet/configuration_pack.hpp
@@ -13,13 +13,22 @@
 
 namespace lilacmux {
 
-struct PackedConfiguration {
-  std::uint64_t base = 0;   // the revision that must be there to unpack it; 0: none
-  std::uint64_t size = 0;   // bytes once it is unpacked
+// Bytes, compressed.
+struct Packed {
+  std::uint64_t size = 0;   // once they are unpacked
   std::uint64_t check = 0;  // XXH3 of them
   std::string bytes;
 };
 
+// `prefix`: what the receiver has and the text resembles; none if null.
+Packed pack(const std::string& text, const std::string* prefix);
+// Nothing: it was packed against another prefix, or is spoilt.
+std::shared_ptr<const std::string> unpack(const Packed& packed, const std::string* prefix);
+
+struct PackedConfiguration : Packed {
+  std::uint64_t base = 0;  // the revision that must be there to unpack it; 0: none
+};
+
 // Packs the newest configurations. What was packed once is kept for the next follower that asks for the same.
 class ConfigurationPacker {
  public:
@@ -46,7 +55,7 @@
 };
 
 // The body, given the one of the revision that the receiver has. Nothing: it needs another one, or is spoilt.
-std::shared_ptr<const std::string> unpack(const PackedConfiguration& packed, std::uint64_t revision,
-                                          const std::string* body);
+std::shared_ptr<const std::string> unpackConfiguration(const PackedConfiguration& packed,
+                                                       std::uint64_t revision, const std::string* body);
 
 }  // namespace lilacmux
--- a/src/fleet/wire.cpp
+++ b/src/fleet/wire.cpp
@@ -2,6 +2,7 @@
 
 #include <cmath>
 
+#include "fleet/snapshot_pack.hpp"
 #include "net/frame_kind.hpp"
 
 namespace lilacmux {
@@ -130,7 +131,14 @@
   }
   if (a.news.servers) {
     out.head["snapshot"] = a.news.snapshot;
-    out.head["set"] = a.news.set;
+    if (a.news.packedSet) {
+      const Packed& packed = *a.news.packedSet;
+      out.head["packedSet"] = {
+          {"size", packed.size}, {"check", packed.check}, {"bytes", packed.bytes.size()}};
+      out.body = packed.bytes;
+    } else {
+      out.head["set"] = a.news.set;
+    }
     out.head["gone"] = a.news.gone;
   }
   if (!a.grants.empty()) out.head["grants"] = grantsOf(a.grants);
@@ -146,14 +154,26 @@
   if (a.news.packed) {
     const PackedConfiguration& packed = *a.news.packed;
     out.head["packed"] = {{"base", packed.base}, {"size", packed.size}, {"check", packed.check}};
-    out.body = packed.bytes;
+    out.body += packed.bytes;
   } else if (a.news.configuration) {
     out.head["configuration"] = true;
-    out.body = *a.news.configuration;
+    out.body += *a.news.configuration;
   }
   return out;
 }
 
+// From the front of the body; what follows is the configuration.
+static std::vector<Instance> takePackedSet(Frame& frame) {
+  const json& in = frame.head.at("packedSet");
+  Packed packed;
+  in.at("size").get_to(packed.size);
+  in.at("check").get_to(packed.check);
+  const auto bytes = in.at("bytes").get<std::size_t>();
+  packed.bytes = frame.body.substr(0, bytes);
+  frame.body.erase(0, bytes);
+  return unpackSnapshot(packed);
+}
+
 std::optional<FollowAnswer> followAnswerOf(Frame&& frame) {
   const std::string kind = kindOf(frame);
   if (kind != "news" && kind != "elsewhere") return std::nullopt;
@@ -175,10 +195,10 @@
     out.listAgeMs = in.contains("listAgeUnknown") ? std::nullopt : std::optional(in.value("listAge", 0.0));
     in.at("grant").get_to(out.grant);
     out.known = !in.contains("unknown");
-    if (in.contains("set")) {
+    if (in.contains("set") || in.contains("packedSet")) {
       out.news.servers = true;
       in.at("snapshot").get_to(out.news.snapshot);
-      in.at("set").get_to(out.news.set);
+      out.news.set = in.contains("set") ? in.at("set").get<std::vector<Instance>>() : takePackedSet(frame);
       in.at("gone").get_to(out.news.gone);
     }
     if (in.contains("grants")) out.grants = grantsFrom(in.at("grants"));
--- a/src/net/acceptor.cpp
+++ b/src/net/acceptor.cpp
@@ -22,17 +22,30 @@
     acceptor_.set_option(tcp::acceptor::reuse_address(true));
     acceptor_.bind(address);
     acceptor_.listen();
+    acceptor_.non_blocking(true);
   } catch (const boost::system::system_error& error) {
     throw std::runtime_error(std::string("cannot listen ") + where + ": " + error.what());
   }
   accept();
 }
 
+// Those that are there already.
+void Acceptor::acceptWaiting() {
+  for (unsigned taken = 1; taken < kAtOnce; ++taken) {
+    Error error;
+    tcp::socket socket(acceptor_.get_executor());
+    acceptor_.accept(socket, error);
+    if (error) return;  // none is there, or the accept that follows meets the same
+    came_(std::move(socket));
+  }
+}
+
 void Acceptor::accept() {
   acceptor_.async_accept([this](const Error& error, tcp::socket socket) {
     if (error == asio::error::operation_aborted) return;
     if (!error) {
       came_(std::move(socket));
+      acceptWaiting();
       return accept();
     }
     pause_.expires_after(kPause);
--- a/tests/system/bulk_test.cpp
+++ b/tests/system/bulk_test.cpp
@@ -9,6 +9,7 @@
 #include "fleet/configuration_pack.hpp"
 #include "fleet/follower_state.hpp"
 #include "fleet/relay.hpp"
+#include "fleet/snapshot_pack.hpp"
 
 namespace lilacmux::test {
 namespace {
@@ -38,15 +39,15 @@
   ASSERT_TRUE(change);
   EXPECT_EQ(change->base, 7u);
   EXPECT_LT(change->bytes.size(), 500u);
-  const auto unpacked = unpack(*change, 7, first.get());
+  const auto unpacked = unpackConfiguration(*change, 7, first.get());
   ASSERT_TRUE(unpacked);
   EXPECT_EQ(*unpacked, *second);
   EXPECT_EQ(packer.pack(8, 7), change) << "packed once for all";
   const auto whole = packer.pack(8, 0);
   EXPECT_EQ(whole->base, 0u);
   EXPECT_LT(whole->bytes.size(), second->size() * 2 / 3);
-  EXPECT_EQ(*unpack(*whole, 0, nullptr), *second);
-  EXPECT_EQ(*unpack(*whole, 3, first.get()), *second) << "whatever else is there";
+  EXPECT_EQ(*unpackConfiguration(*whole, 0, nullptr), *second);
+  EXPECT_EQ(*unpackConfiguration(*whole, 3, first.get()), *second) << "whatever else is there";
 }
 
 TEST(ConfigurationPack, ABaseThatIsNotKnownIsDoneWithout) {
@@ -62,19 +63,19 @@
   packer.take(7, first);
   packer.take(8, second);
   const auto change = packer.pack(8, 7);
-  EXPECT_FALSE(unpack(*change, 6, first.get())) << "another version is there";
-  EXPECT_FALSE(unpack(*change, 7, nullptr));
+  EXPECT_FALSE(unpackConfiguration(*change, 6, first.get())) << "another version is there";
+  EXPECT_FALSE(unpackConfiguration(*change, 7, nullptr));
   const auto other = bodyOf(configurationOf(300, 2));
-  EXPECT_FALSE(unpack(*change, 7, other.get())) << "another body under the same number";
+  EXPECT_FALSE(unpackConfiguration(*change, 7, other.get())) << "another body under the same number";
   for (std::size_t at = 0; at < change->bytes.size(); ++at) {
     PackedConfiguration spoilt = *change;
     spoilt.bytes[at] = static_cast<char>(spoilt.bytes[at] ^ 0x15);
-    const auto got = unpack(spoilt, 7, first.get());
+    const auto got = unpackConfiguration(spoilt, 7, first.get());
     EXPECT_TRUE(!got || *got == *second) << "byte " << at;
   }
   PackedConfiguration large = *change;
   large.size = std::uint64_t{1} << 40;
-  EXPECT_FALSE(unpack(large, 7, first.get()));
+  EXPECT_FALSE(unpackConfiguration(large, 7, first.get()));
 }
 
 TEST(ConfigurationPack, KeepsABoundedNumberOfVersions) {
@@ -109,6 +110,43 @@
   EXPECT_TRUE(relay.asks(40, ShareTell::whole).unpacks);
 }
 
+std::vector<Instance> servers(std::size_t count) {
+  std::vector<Instance> out;
+  for (std::size_t i = 0; i < count; ++i)
+    out.push_back({"i-" + std::to_string(i * 7919), "service", "10.1.0." + std::to_string(i % 250) + ":80",
+                   "zone", 3, i % 5 == 0, 0});
+  return out;
+}
+
+// The list goes before the configuration in one body, and both come out as they were.
+TEST(SnapshotPack, AListAndAConfigurationComeBackAsTheyWere) {
+  SnapshotPacker snapshots;
+  ConfigurationPacker packer;
+  const auto body = bodyOf(configurationOf(100, 3));
+  packer.take(8, body);
+  FollowAnswer told;
+  told.epoch = 5 << 20;
+  told.news.listed = told.news.servers = told.news.snapshot = true;
+  told.news.place = 4;
+  told.news.revision = 8;
+  told.news.set = servers(809);
+  told.news.packed = packer.pack(8, 0);
+  told.news.packedSet = snapshots.pack({told.epoch, 4}, told.news.set);
+  ASSERT_TRUE(told.news.packedSet);
+  EXPECT_LT(told.news.packedSet->bytes.size(), 809 * BulkPacer::kEntryBytes / 4);
+  EXPECT_EQ(snapshots.pack({told.epoch, 4}, told.news.set), told.news.packedSet) << "packed once for all";
+  EXPECT_NE(snapshots.pack({told.epoch, 5}, told.news.set), told.news.packedSet);
+  const auto read = followAnswerOf(toFrame(told));
+  ASSERT_TRUE(read);
+  EXPECT_EQ(read->news.set, told.news.set);
+  EXPECT_TRUE(read->news.snapshot);
+  EXPECT_EQ(*read->news.configurationFor(0, nullptr), *body);
+  Frame spoilt = toFrame(told);
+  spoilt.body[100] ^= 1;
+  EXPECT_FALSE(followAnswerOf(std::move(spoilt))) << "the call has failed";
+  EXPECT_FALSE(snapshots.pack({told.epoch, 6}, servers(SnapshotPacker::kLeast - 1)));
+}
+
 // Thirty gatekeepers want a configuration of 260 KB at once from a machine with 100 Mbit/s.
 TEST(BulkPacer, KeepsTheLinkFreeForWhatIsSmall) {
   constexpr double kMbitPerS = 100, kGatekeepers = 30;
