Accept clients' crowds at once, too

The fault of docs/incidents/one-accept-a-turn.md stood in the clients' own accept: one connection for each turn of the loop. Up to 16 are taken now, where nobody must make room for them.

--- a/src/node/client_server.cpp
+++ b/src/node/client_server.cpp
@@ -18,6 +18,7 @@
 
 constexpr std::size_t kMostAhead = 4 * 1024;  // read of what follows a request that is held
 constexpr std::size_t kMostMarks = 16;        // of when that came
+constexpr unsigned kAcceptedAtOnce = 16;      // connections taken in one turn of the loop
 constexpr auto kAcceptPause = 50ms;           // after an accept that failed for want of descriptors
 constexpr auto kHalfSentAtStop = 500ms;       // what is left to a half-sent request at the end of a drain
 constexpr irisring::Time kFullRetryAfter = 1000;
@@ -641,9 +642,22 @@
       return acceptLater();
     if (!error) waiting_ = std::move(socket);
     accept();
+    if (!error) acceptWaiting();
   });
 }
 
+// Those that are there already, as far as they need nobody else's place: one for each turn of a busy loop
+// would leave a crowd waiting until it gives up, and comes again.
+void ClientServer::acceptWaiting() {
+  for (unsigned taken = 1; taken < kAcceptedAtOnce && connections() < most_; ++taken) {
+    Error error;
+    tcp::socket socket(acceptor_.get_executor());
+    acceptor_.accept(socket, error);
+    if (error) return;  // none is there, or the accept that is pending meets the same
+    add(std::move(socket));
+  }
+}
+
 // Out of descriptors: the connection stays in the machine's queue and would be reported again at once.
 void ClientServer::acceptLater() {
   dropOldest();
--- a/src/node/client_server.hpp
+++ b/src/node/client_server.hpp
@@ -134,6 +134,7 @@
   std::shared_ptr<Connection> oldestToSpare() const;
   bool hasRoom() const;
   void accept();
+  void acceptWaiting();
   void acceptLater();
   void add(boost::asio::ip::tcp::socket socket);
   void remove(Standing standing, Connections::iterator connection);
--- a/tests/pipelining_test.cpp
+++ b/tests/pipelining_test.cpp
@@ -1,4 +1,6 @@
 // Clients that send on before they are answered.
+#include <boost/asio/post.hpp>
+
 #include "sides.hpp"
 
 namespace burlwind::test {
@@ -55,6 +57,23 @@
   PeerPtr client;
 };
 
+// One accepted in each turn of a busy loop would leave most of a crowd waiting until it gives up.
+TEST_F(Pipelining, ACrowdOfClientsIsAcceptedWithinAFewTurnsOfABusyLoop) {
+  constexpr std::size_t kCrowd = 100;
+  open(1);
+  std::vector<PeerPtr> crowd;
+  for (std::size_t i = 0; i < kCrowd; ++i) crowd.push_back(dial(server->address()));
+  std::size_t turns = 0;
+  std::function<void()> work = [&] {
+    if (++turns < 10 * kCrowd) asio::post(io, work);
+  };
+  asio::post(io, work);
+  while (server->connections() < kCrowd + 1 && turns < 10 * kCrowd) io.run_one();
+  EXPECT_EQ(server->connections(), kCrowd + 1);
+  EXPECT_LT(turns, kCrowd / 2) << "turns of the loop";
+  turns = 10 * kCrowd;
+}
+
 // The third came while the second, read ahead, was parsed under a read that was still pending: its bytes went
 // astray, and clients got answers of others.
 TEST_F(Pipelining, AThirdRequestThatComesWhileTheSecondIsParsedIsReadAsItWasSent) {
