--- a/src/fleet/bulk_pacer.hpp
+++ b/src/fleet/bulk_pacer.hpp
@@ -14,7 +14,8 @@
 class BulkPacer {
  public:
   using Millis = double;
-  static constexpr std::size_t kBulk = 16 * 1024;  // bytes from which on an answer waits for its turn
+  static constexpr std::size_t kBulk = std::size_t{16}
+                                       << 10;      // bytes from which on an answer waits for its turn
   static constexpr Millis kQueue = 40;             // ms of the link that may be taken when a turn comes
   static constexpr std::size_t kEntryBytes = 120;  // of a server in an answer, about
 
