Take what waits to be accepted in one place, and ask for a lease in one

Read again, nothing measured anew: the same loop of accepts stood in Acceptor, in ClientServer's accept and where it stops accepting; acceptNow serves all three. Gateway::maySend asked mayServe and the lease a second time: both are mayServeAt, the queue on the link being 0 or more. ChangeLog::body was called by nobody.

--- a/src/fleet/change_log.hpp
+++ b/src/fleet/change_log.hpp
@@ -67,9 +67,8 @@
   // Of the list that is here, whichever epoch's.
   ListPosition position() const { return changes_.empty() ? base_ : changes_.back().after; }
   std::uint64_t revision() const { return revision_; }
-  const std::shared_ptr<const std::string>& body() const { return body_; }  // the configuration's
-  std::size_t changes() const { return changes_.size(); }                   // kept
-  std::size_t entries() const { return entries_; }                          // in them
+  std::size_t changes() const { return changes_.size(); }  // kept
+  std::size_t entries() const { return entries_; }         // in them
   const std::map<std::string, Instance>& list() const { return servers_; }
 
   struct News {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -127,16 +127,13 @@
   return static_cast<double>(random_ >> 11) * 0x1.0p-53;
 }
 
-bool Gateway::mayServe() const {
-  return table_ && (!settings_.bounds.revocationGlobal || followed_.holdsLease(now()));
+bool Gateway::mayServeAt(Time at) const {
+  return table_ && (!settings_.bounds.revocationGlobal || followed_.holdsLease(at));
 }
 
 // Whether what goes out now reaches its server while the lease holds: a request may have waited here since it
 // was let in, and waits behind what is queued on the machine's link.
-bool Gateway::maySend() const {
-  return mayServe() &&
-         (!settings_.bounds.revocationGlobal || followed_.holdsLease(now() + outwards_.queue()));
-}
+bool Gateway::maySend() const { return mayServeAt(now() + outwards_.queue()); }
 
 bool Gateway::ready() const { return !draining_ && followed_.listed() && mayServe(); }
 
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -129,7 +129,8 @@
   void endStream(RequestId id, bool whole);
   void release(ActiveRequests::iterator found, bool ran);
   void prepare(ActiveRequest& active);
-  bool mayServe() const;
+  bool mayServeAt(Time at) const;
+  bool mayServe() const { return mayServeAt(now()); }
   bool maySend() const;
   Time now() const;
   double chance();
--- a/src/net/acceptor.cpp
+++ b/src/net/acceptor.cpp
@@ -15,6 +15,14 @@
 
 }  // namespace
 
+std::optional<tcp::socket> acceptNow(tcp::acceptor& acceptor) {
+  Error error;
+  tcp::socket socket(acceptor.get_executor());
+  acceptor.accept(socket, error);
+  if (error) return std::nullopt;
+  return socket;
+}
+
 Acceptor::Acceptor(asio::io_context& io, const tcp::endpoint& address, const char* where, Came came)
     : came_(std::move(came)), acceptor_(io), pause_(io) {
   try {
@@ -29,14 +37,12 @@
   accept();
 }
 
-// Those that are there already.
+// Those that are there already. An accept that fails is met again by the one that follows.
 void Acceptor::acceptWaiting() {
   for (unsigned taken = 1; taken < kAtOnce; ++taken) {
-    Error error;
-    tcp::socket socket(acceptor_.get_executor());
-    acceptor_.accept(socket, error);
-    if (error) return;  // none is there, or the accept that follows meets the same
-    came_(std::move(socket));
+    auto socket = acceptNow(acceptor_);
+    if (!socket) return;
+    came_(std::move(*socket));
   }
 }
 
--- a/src/net/acceptor.hpp
+++ b/src/net/acceptor.hpp
@@ -8,9 +8,14 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <optional>
 
 namespace burlwind {
 
+// A connection that waits to be accepted. Nothing: none does, or it cannot be had. The acceptor does not
+// block.
+std::optional<boost::asio::ip::tcp::socket> acceptNow(boost::asio::ip::tcp::acceptor& acceptor);
+
 class Acceptor {
  public:
   using Came = std::function<void(boost::asio::ip::tcp::socket)>;
--- a/src/node/client_server.cpp
+++ b/src/node/client_server.cpp
@@ -9,6 +9,8 @@
 #include <utility>
 #include <vector>
 
+#include "net/acceptor.hpp"
+
 namespace burlwind {
 namespace {
 
@@ -650,11 +652,9 @@
 // would leave a crowd waiting until it gives up, and comes again.
 void ClientServer::acceptWaiting() {
   for (unsigned taken = 1; taken < kAcceptedAtOnce && connections() < most_; ++taken) {
-    Error error;
-    tcp::socket socket(acceptor_.get_executor());
-    acceptor_.accept(socket, error);
-    if (error) return;  // none is there, or the accept that is pending meets the same
-    add(std::move(socket));
+    auto socket = acceptNow(acceptor_);
+    if (!socket) return;  // the accept that is pending meets what failed
+    add(std::move(*socket));
   }
 }
 
@@ -692,13 +692,7 @@
 
 void ClientServer::stopAccepting() {
   if (waiting_) add(*std::exchange(waiting_, std::nullopt));
-  for (;;) {
-    Error error;
-    tcp::socket socket(acceptor_.get_executor());
-    acceptor_.accept(socket, error);
-    if (error) break;
-    add(std::move(socket));
-  }
+  while (auto socket = acceptNow(acceptor_)) add(std::move(*socket));
   Error ignored;
   acceptor_.close(ignored);
   pause_.cancel();
