--- a/tests/bench/recovery.sh
+++ b/tests/bench/recovery.sh
@@ -2,7 +2,7 @@
 # Recovery after a day's closing fault, as a table: bash tests/bench/recovery.sh FLEETBENCH SITE [DAY...]
 # Without a DAY, six are made: each closing fault, with the seeds of the start and with other ones named at a random hour.
 # Seconds from the first start of a process after the fault: until a primary leads, until the last gatekeeper that
-# started has a configuration in force; and from the fault until the first window of 2 s with any request, 25 of 100 and 90 of 100
+# started has a configuration in force (-1: none had to); and from the fault until the first window of 2 s with any request, 25 of 100 and 90 of 100
 # served. LILACMUX: the program, target/lilacmux if not set.
 set -euo pipefail
 bench=$1 site=$2
@@ -45,6 +45,6 @@
       for (i = 1; i <= s; i++) if (starts[i] > at && (start < 0 || starts[i] < start)) start = starts[i]
       for (i = 1; i <= l; i++) if (leads[i] > at && (lead < 0 || leads[i] < lead)) lead = leads[i]
       for (i = 1; i <= f; i++) if (force[i] > at && force[i] < at + 15 && force[i] > last) last = force[i]
-      printf "%-24s %-16s %6.2f %6.2f %8.2f %8.2f %6.1f %6.1f %6.1f\n", day, fault, at, start - at, lead - start, last - start, since(0), since(0.25), since(0.9)
+      printf "%-24s %-16s %6.2f %6.2f %8.2f %8.2f %6.1f %6.1f %6.1f\n", day, fault, at, start - at, lead < 0 ? -1 : lead - start, last < 0 ? -1 : last - start, since(0), since(0.25), since(0.9)
     }'
 done
