--- a/src/consensus/member_message_codec.cpp
+++ b/src/consensus/member_message_codec.cpp
@@ -69,6 +69,7 @@
                        {"forgottenRevision", state.accepted.compactedRevision()},
                        {"taken", json::array()},
                        {"holders", state.grantHolders}};
+  if (state.ownership) out.head["state"]["ownership"] = *state.ownership;
   if (state.body) out.body = *state.body;
 }
 
@@ -83,6 +84,8 @@
   in.at("sequence").get_to(out.sequence);
   in.at("revision").get_to(out.revision);
   in.at("holders").get_to(out.grantHolders);
+  if (in.contains("ownership"))
+    out.ownership = std::make_shared<const std::string>(in.at("ownership").get<std::string>());
   out.accepted = decodeAcceptedChanges(in, out.revision, body);
   if (out.revision > 0) out.body = std::make_shared<const std::string>(std::move(body));
   return out;
--- a/src/consensus/replicated_state.hpp
+++ b/src/consensus/replicated_state.hpp
@@ -10,13 +10,15 @@
 
 namespace lilacmux {
 
-// The newest configuration, the history of accepted changes, and the holders of quota grants.
+// The newest configuration, the history of accepted changes, the holders of quota grants, and the ownership
+// table.
 struct ReplicatedState {
   std::uint64_t sequence = 0;  // number of the newest change, counted across epochs
   std::uint64_t revision = 0;
-  std::shared_ptr<const std::string> body;  // the configuration exactly as the operator sent it
-  AcceptedChanges accepted;                 // including the current change
-  std::set<std::string> grantHolders;       // relays and gatekeepers that may hold quota grants
+  std::shared_ptr<const std::string> body;       // the configuration exactly as the operator sent it
+  AcceptedChanges accepted;                      // including the current change
+  std::set<std::string> grantHolders;            // relays and gatekeepers that may hold quota grants
+  std::shared_ptr<const std::string> ownership;  // the encoded OwnershipTable; null: none yet
 };
 
 }  // namespace lilacmux
--- a/src/consensus/state_store.cpp
+++ b/src/consensus/state_store.cpp
@@ -21,6 +21,7 @@
 
 constexpr const char* kMeta = "meta";  // as JSON: all but the configuration and the accepted changes
 constexpr const char* kBody = "body";  // the configuration
+constexpr const char* kOwnership = "ownership";  // the ownership table
 // Prefix of the keys of accepted changes, one key per change: the prefix and the revision in 16 hexadecimal
 // digits. The keys are thus ordered by revision, and a write adds only new changes. The value is the digest.
 constexpr std::string_view kAcceptedPrefix = "accepted/";
@@ -73,6 +74,13 @@
   for (; old != written.end(); ++old) batch.Delete(acceptedKey(old->revision));
 }
 
+// Adds to `batch` what turns the text under the key from `written` into `next`.
+void writeText(const char* key, const std::shared_ptr<const std::string>& written,
+               const std::shared_ptr<const std::string>& next, leveldb::WriteBatch& batch) {
+  if (next == written || (next && written && *next == *written)) return;
+  next ? batch.Put(key, *next) : batch.Delete(key);
+}
+
 json encodeMeta(const DurableState& durable) {
   return {{"form", kFormatVersion},
           {"members", durable.record.members},
@@ -158,6 +166,7 @@
   const auto stored = read();
   if (!stored) return;
   writtenBody_ = stored->state.body;
+  writtenOwnership_ = stored->state.ownership;
   writtenAccepted_ = readAcceptedEntries();
 }
 
@@ -183,6 +192,7 @@
 void StateStore::moveAside() {
   db_.reset();
   writtenBody_.reset();
+  writtenOwnership_.reset();
   writtenAccepted_.clear();
   const std::string damagedFolder = disk_.folder.string() + ".damaged";
   log_("the unreadable state store is moved to " + damagedFolder + "; this node starts as after a disk loss");
@@ -207,6 +217,12 @@
       throw std::runtime_error("cannot read the stored configuration: " + bodyStatus.ToString());
     out.state.body = std::make_shared<const std::string>(std::move(body));
   }
+  std::string ownership;
+  const leveldb::Status ownershipStatus = db_->Get({}, kOwnership, &ownership);
+  if (ownershipStatus.ok())
+    out.state.ownership = std::make_shared<const std::string>(std::move(ownership));
+  else if (!ownershipStatus.IsNotFound())
+    throw std::runtime_error("cannot read the stored ownership table: " + ownershipStatus.ToString());
   // The 64-bit hashes of format version 1 are too short to base an acknowledgement on. An older build that
   // has written in the meantime leaves the keys of version 2 unchanged, so they may be out of date.
   if (meta.value("form", 1) >= 2)
@@ -232,10 +248,11 @@
   // After a failed write LevelDB's log may be misaligned, and later records could not be read back.
   if (failed_) return false;
   const auto& body = durable.state.body;
-  const bool isNewBody = body && body != writtenBody_ && (!writtenBody_ || *body != *writtenBody_);
+  const auto& ownership = durable.state.ownership;
   leveldb::WriteBatch batch;
   batch.Put(kMeta, encodeMeta(durable).dump());
-  if (isNewBody) batch.Put(kBody, *body);
+  if (body) writeText(kBody, writtenBody_, body, batch);
+  writeText(kOwnership, writtenOwnership_, ownership, batch);
   const auto& accepted = durable.state.accepted.entries();
   writeDifference(writtenAccepted_, accepted, batch);
   leveldb::WriteOptions writeOptions;
@@ -247,6 +264,7 @@
     return false;
   }
   writtenBody_ = body;
+  writtenOwnership_ = ownership;
   if (accepted != writtenAccepted_) writtenAccepted_ = accepted;
   return true;
 }
--- a/src/consensus/state_store.hpp
+++ b/src/consensus/state_store.hpp
@@ -55,7 +55,7 @@
   const Log log_;
   std::unique_ptr<leveldb::DB> db_;
   // The state on disk, so that only differences are written.
-  std::shared_ptr<const std::string> writtenBody_;
+  std::shared_ptr<const std::string> writtenBody_, writtenOwnership_;
   std::vector<AcceptedChange> writtenAccepted_;
   bool movedAside_ = false, failed_ = false;
 };
--- a/src/control/control_node.cpp
+++ b/src/control/control_node.cpp
@@ -38,7 +38,8 @@
       relay_(io, self_, settings_, log_),
       member_(io, self_, settings_, discovery_, *this, log_),
       primary_(
-          io, settings_, [this] { postProcessProposals(); }, log_),
+          io, settings_, [this] { postProcessProposals(); },
+          [this] { return member_.replica() && member_.replica()->hasLease(steadyMs()); }, log_),
       follows_(self_, settings_.networkMbps, discovery_, primary_, relay_),
       internalApi_(discovery_, member_, follows_),
       operatorApi_(self_, settings_, {member_, configuration_, primary_, relay_, discovery_, internalApi_}),
@@ -46,6 +47,7 @@
       drainTimer_(io) {
   if (!settings_.dataDirectory)
     log_("no data directory: this node stores no state and redirects operators to other control nodes");
+  log_(seedsText(settings_));
   member_.start();
   internalApi_.listen(io_, Endpoint(boost::asio::ip::make_address(settings_.address), controlPort(settings_)),
                       log_);
@@ -66,8 +68,8 @@
   member_.setSeeds(seedNodes(settings_));
   relay_.setSeeds(controlSeeds(settings_));
   const bool addressChanged = primary_.setPlatform({settings.platform, settings.platformRatePerS});
-  log_(addressChanged ? "settings reloaded; the address of the platform API has changed"
-                      : "settings reloaded");
+  log_("settings reloaded; " + seedsText(settings_) +
+       (addressChanged ? "; the address of the platform API has changed" : ""));
 }
 
 void ControlNode::drain(std::function<void()> done) {
@@ -110,7 +112,7 @@
 void ControlNode::processProposals() {
   Replica& replica = *member_.replica();
   configuration_.processQueue(steadyMs(), replica);
-  primary_.proposeGrantHolders(steadyMs(), replica);
+  primary_.propose(steadyMs(), replica);
 }
 
 // Defers the proposals, as they must not be made from within a call of the replica.
--- a/src/control/control_status.cpp
+++ b/src/control/control_status.cpp
@@ -55,6 +55,33 @@
   out.gauge("lilacmux_revision", "The newest configuration kept", static_cast<double>(core.revision));
 }
 
+void addOwnership(nlohmann::json& out, const OwnershipRole::Status& ownership) {
+  if (ownership.ranges == 0) return;
+  out["ownership"] = {
+      {"ranges", ownership.ranges},           {"pendingHandovers", ownership.pendingHandovers},
+      {"grants", ownership.counts.grants},    {"releases", ownership.counts.releases},
+      {"lapses", ownership.counts.lapses},    {"rejected", ownership.counts.rejected},
+      {"failures", ownership.counts.failures}};
+}
+
+void addPrimary(Exposition& out, const PrimaryRole::Status& primary) {
+  out.gauge("lilacmux_relays", "Relays that ask the primary", static_cast<double>(primary.relays));
+  const OwnershipRole::Status& ownership = primary.ownership;
+  if (ownership.ranges == 0) return;
+  const auto counter = [&](const char* name, const char* help, std::uint64_t value) {
+    out.counter(name, help, static_cast<double>(value));
+  };
+  out.gauge("lilacmux_key_ranges", "Ranges of keys that are assigned", static_cast<double>(ownership.ranges));
+  out.gauge("lilacmux_key_handovers_pending", "Ranges that an earlier server may still hold",
+            static_cast<double>(ownership.pendingHandovers));
+  counter("lilacmux_key_grants_total", "Grants of keys that were answered", ownership.counts.grants);
+  counter("lilacmux_key_releases_total", "Releases of keys that were answered", ownership.counts.releases);
+  counter("lilacmux_key_lapses_total", "Ranges that changed hands without a release",
+          ownership.counts.lapses);
+  counter("lilacmux_key_rejections_total", "Fences that a server refused", ownership.counts.rejected);
+  counter("lilacmux_key_failures_total", "Grants and releases without an answer", ownership.counts.failures);
+}
+
 }  // namespace
 
 std::string statusJson(const ControlStatus& status) {
@@ -67,6 +94,7 @@
   if (status.primary) {
     out["changes"] = {{"place", status.primary->logPosition}, {"revision", status.primary->revision}};
     out["relays"] = status.primary->relays;
+    addOwnership(out, status.primary->ownership);
   }
   out["relay"] = {{"gatekeepers", status.relay.gatewayCount}, {"revision", status.relay.revision}};
   return out.dump();
@@ -83,8 +111,7 @@
   out.gauge("lilacmux_relay_gatekeepers", "Gatekeepers that ask here",
             static_cast<double>(status.relay.gatewayCount));
   if (status.core) addCore(out, *status.core, status.machineFailures);
-  if (status.primary)
-    out.gauge("lilacmux_relays", "Relays that ask the primary", static_cast<double>(status.primary->relays));
+  if (status.primary) addPrimary(out, *status.primary);
   return out.text();
 }
 
--- a/src/control/primary_role.cpp
+++ b/src/control/primary_role.cpp
@@ -18,33 +18,49 @@
   return {bounds.retryBudgetRatio, bounds.retryBudgetSlack};
 }
 
-// Returns each tenant's quota by the configuration; empty if there is no readable configuration.
-std::map<std::string, Quota> quotasOf(const ReplicatedState& state) {
+// Returns the committed configuration; an empty one if there is none that can be read.
+Configuration configurationOf(const ReplicatedState& state) {
+  if (!state.body) return {};
+  auto parsed = parseConfiguration(*state.body);
+  auto* const configuration = std::get_if<Configuration>(&parsed);
+  return configuration ? std::move(*configuration) : Configuration{};
+}
+
+std::map<std::string, Quota> quotasOf(const Configuration& configuration) {
   std::map<std::string, Quota> out;
-  if (!state.body) return out;
-  const auto parsed = parseConfiguration(*state.body);
-  const auto* configuration = std::get_if<Configuration>(&parsed);
-  if (!configuration) return out;
-  for (const Tenant& tenant : configuration->tenants)
+  for (const Tenant& tenant : configuration.tenants)
     if (tenant.ratePerS > 0) out[tenant.name] = {tenant.ratePerS, tenant.burst};
   return out;
 }
 
+std::set<std::string> shardedServicesOf(const Configuration& configuration) {
+  std::set<std::string> out;
+  for (const Service& service : configuration.services)
+    if (service.isSharded) out.insert(service.name);
+  return out;
+}
+
 }  // namespace
 
 PrimaryRole::PrimaryRole(boost::asio::io_context& io, const NodeSettings& settings,
-                         std::function<void()> onGrantHolderAdded, Log log)
+                         std::function<void()> onProposalDue, std::function<bool()> mayAct, Log log)
     : io_(io),
       bounds_(settings.bounds),
       platform_{settings.platform, settings.platformRatePerS},
-      onGrantHolderAdded_(std::move(onGrantHolderAdded)),
+      onProposalDue_(std::move(onProposalDue)),
+      mayAct_(std::move(mayAct)),
       log_(std::move(log)) {}
 
 void PrimaryRole::apply(Millis now, std::uint64_t epoch, const ChangeLog& followed,
                         const ReplicatedState& committed) {
   if (!primary_) begin(now, epoch, followed, committed);
-  if (primary_->revision() == committed.revision) return;  // only names of grant holders have changed
-  primary_->setConfiguration(now, committed.revision, committed.body, quotasOf(committed));
+  ownership_->onCommitted(committed);
+  if (primary_->revision() == committed.revision && configured_) return;
+  configured_ = true;
+  const Configuration configuration = configurationOf(committed);
+  primary_->setConfiguration(now, committed.revision, committed.body, quotasOf(configuration));
+  ownership_->setShardedServices(shardedServicesOf(configuration));
+  ownership_->setServers(primary_->servers());
 }
 
 void PrimaryRole::begin(Millis now, std::uint64_t epoch, const ChangeLog& followed,
@@ -52,13 +68,17 @@
   ++activationCount_;
   primary_ = std::make_unique<PrimaryService>(now, epoch, followed, committed.grantHolders,
                                               quotaRule(bounds_), retryRule(bounds_));
+  ownership_ =
+      std::make_unique<OwnershipRole>(io_, bounds_.maxHoldMs, committed, mayAct_, onProposalDue_, log_);
+  configured_ = false;
   watchPlatform();
 }
 
 void PrimaryRole::end() {
   primary_.reset();
   unreplicatedGrantHolders_.clear();
-  // Destroys the watcher later, as this may run inside one of its handlers.
+  // Destroys both later, as this may run inside one of their handlers.
+  boost::asio::post(io_, [ownership = std::shared_ptr<OwnershipRole>(std::move(ownership_))] {});
   boost::asio::post(io_, [watcher = std::shared_ptr<PlatformWatcher>(std::move(watcher_))] {});
 }
 
@@ -75,7 +95,9 @@
   watcher_ = std::make_unique<PlatformWatcher>(
       io_, *platform_.address, platform_.maxRequestsPerS,
       [this](const std::vector<Instance>& list) {
-        if (primary_) primary_->updateServers(list);
+        if (!primary_) return;
+        primary_->updateServers(list);
+        ownership_->setServers(primary_->servers());
       },
       log_);
 }
@@ -86,12 +108,19 @@
   const bool isReplicated = committed.grantHolders.contains(grantHolder);
   if (!isReplicated) {
     unreplicatedGrantHolders_.insert(grantHolder);
-    onGrantHolderAdded_();
+    onProposalDue_();
   }
   primary_->fillResponse(now, request, isReplicated, response);
+  ownership_->fillResponse(now, request, response);
   if (watcher_) response.listAgeMs = excessListAge(now, watcher_->listAsOf(), bounds_);
 }
 
+void PrimaryRole::propose(Millis now, Replica& replica) {
+  if (!primary_) return;
+  proposeGrantHolders(now, replica);
+  ownership_->propose(now, replica);
+}
+
 void PrimaryRole::proposeGrantHolders(Millis now, Replica& replica) {
   if (unreplicatedGrantHolders_.empty() || !replica.canPropose(now)) return;
   ReplicatedState next = replica.committed();
@@ -105,7 +134,7 @@
 
 std::optional<PrimaryRole::Status> PrimaryRole::status(Millis now) const {
   if (!primary_) return std::nullopt;
-  return Status{primary_->listIndex(), primary_->revision(), primary_->relayCount(now)};
+  return Status{primary_->listIndex(), primary_->revision(), primary_->relayCount(now), ownership_->status()};
 }
 
 }  // namespace lilacmux
--- a/src/control/primary_role.hpp
+++ b/src/control/primary_role.hpp
@@ -14,6 +14,7 @@
 #include <string>
 
 #include "consensus/replica.hpp"
+#include "control/ownership_role.hpp"
 #include "fleet/platform_watcher.hpp"
 #include "fleet/primary_service.hpp"
 #include "settings/settings.hpp"
@@ -34,11 +35,13 @@
     std::uint64_t logPosition = 0;
     std::uint64_t revision = 0;  // revision of the configuration in the log
     std::size_t relays = 0;      // relays that follow the log
+    OwnershipRole::Status ownership;
   };
 
-  // `onGrantHolderAdded` is called when a name has been queued for `proposeGrantHolders`.
-  PrimaryRole(boost::asio::io_context& io, const NodeSettings& settings,
-              std::function<void()> onGrantHolderAdded, Log log);
+  // `onProposalDue` is called when there is something for `propose`. `mayAct`: whether this process is the
+  // primary and holds its lease.
+  PrimaryRole(boost::asio::io_context& io, const NodeSettings& settings, std::function<void()> onProposalDue,
+              std::function<bool()> mayAct, Log log);
 
   // To be called at the primary with each committed state: begins the role unless it is active, and puts the
   // committed configuration into the change log. `followed`: the log that this process has received from
@@ -54,15 +57,11 @@
   bool setPlatform(const PlatformEndpoint& platform);
 
   // Fills in the response to a relay. Must only be called while the role is active. A relay gets no grant
-  // before its name has been replicated; a name that has not been is queued for `proposeGrantHolders`.
+  // before its name has been replicated; a name that has not been is queued for `propose`.
   void fillResponse(Millis now, const FollowRequest& request, const ReplicatedState& committed,
                     FollowResponse& response);
-  // Proposes to replicate the queued names, if there are any and the replica can propose: the next primary
-  // must receive a report from each named grant holder first. The same change drops the holders for which
-  // `PrimaryService::hasExpired` is true: none during the recovery period, and after it those that the ledger
-  // of quotas does not know. That ledger does not know a holder before its first full report, nor after the
-  // holder has released all grants or its lease has expired.
-  void proposeGrantHolders(Millis now, Replica& replica);
+  // Proposes what the role has to replicate: the names of grant holders first, then the ownership of keys.
+  void propose(Millis now, Replica& replica);
 
   // Returns nothing while the role is not active.
   std::optional<Status> status(Millis now) const;
@@ -70,18 +69,27 @@
   std::uint64_t activationCount() const { return activationCount_; }
 
  private:
+  // Proposes to replicate the queued names, if there are any and the replica can propose: the next primary
+  // must receive a report from each named grant holder first. The same change drops the holders for which
+  // `PrimaryService::hasExpired` is true: none during the recovery period, and after it those that the ledger
+  // of quotas does not know. That ledger does not know a holder before its first full report, nor after the
+  // holder has released all grants or its lease has expired.
+  void proposeGrantHolders(Millis now, Replica& replica);
   void begin(Millis now, std::uint64_t epoch, const ChangeLog& followed, const ReplicatedState& committed);
   void watchPlatform();
 
   boost::asio::io_context& io_;
   const ServiceBounds bounds_;
   PlatformEndpoint platform_;
-  const std::function<void()> onGrantHolderAdded_;
+  const std::function<void()> onProposalDue_;
+  const std::function<bool()> mayAct_;
   const Log log_;
   std::unique_ptr<PrimaryService> primary_;   // while active
+  std::unique_ptr<OwnershipRole> ownership_;  // while active
   std::unique_ptr<PlatformWatcher> watcher_;  // while active, if there is an address
   std::set<std::string> unreplicatedGrantHolders_;
   std::uint64_t activationCount_ = 0;
+  bool configured_ = false;  // the committed configuration has been applied since the role began
 };
 
 }  // namespace lilacmux
--- a/src/fleet/follow_codec.cpp
+++ b/src/fleet/follow_codec.cpp
@@ -1,6 +1,7 @@
 #include "fleet/follow_codec.hpp"
 
 #include <cmath>
+#include <stdexcept>
 #include <utility>
 
 #include "fleet/snapshot_pack.hpp"
@@ -82,6 +83,57 @@
   return out;
 }
 
+// --- Ownership: keys and owners
+
+json keyCountsToJson(const KeyCounts& counts) {
+  json out = json::object();
+  for (const auto& [service, buckets] : counts.services()) {
+    json& list = out[service] = json::array();
+    for (const auto& [bucket, count] : buckets) {
+      list.push_back(bucket);
+      list.push_back(count);
+    }
+  }
+  return out;
+}
+
+KeyCounts keyCountsFromJson(const json& in) {
+  KeyCounts out;
+  for (const auto& [service, list] : in.items())
+    for (std::size_t i = 0; i + 1 < list.size(); i += 2)
+      out.set(service, list.at(i).get<std::uint32_t>(), list.at(i + 1).get<std::uint32_t>());
+  return out;
+}
+
+json ownershipToJson(const OwnershipDelta& delta) {
+  json services = json::object();
+  for (const auto& [service, ranges] : delta.services) {
+    json& list = services[service] = json::array();
+    for (const OwnedRange& range : ranges)
+      list.push_back({range.keys.first, range.keys.last, range.server, range.version});
+  }
+  return {{"version", delta.version}, {"services", std::move(services)}};
+}
+
+OwnedRange ownedRangeFromJson(const json& in) {
+  OwnedRange out;
+  in.at(0).get_to(out.keys.first);
+  in.at(1).get_to(out.keys.last);
+  in.at(2).get_to(out.server);
+  in.at(3).get_to(out.version);
+  if (out.keys.first > out.keys.last || out.keys.last >= kKeyCount)
+    throw std::invalid_argument("malformed range of keys");
+  return out;
+}
+
+OwnershipDelta ownershipFromJson(const json& in) {
+  OwnershipDelta out;
+  in.at("version").get_to(out.version);
+  for (const auto& [service, ranges] : in.at("services").items())
+    for (const json& range : ranges) out.services[service].push_back(ownedRangeFromJson(range));
+  return out;
+}
+
 // --- Parts of a request
 
 json ratesToJson(const RequestRateSums::Rates& rates) {
@@ -126,6 +178,8 @@
   out.acceptsPacked = head.contains("unpacks");
   out.detaching = head.contains("leaves");
   if (head.contains("retries")) out.retryDemands = demandsFromJson(head.at("retries"));
+  out.ownershipVersion = head.value("owners", std::uint64_t{0});
+  if (head.contains("keyCounts")) out.keyCounts = keyCountsFromJson(head.at("keyCounts"));
   out.relay = readRelayReport(head);
   return out;
 }
@@ -283,6 +337,7 @@
   out.delta.servers = readServers(frame);
   readGrants(head, out);
   readRelays(head, out);
+  if (head.contains("ownership")) out.ownership = ownershipFromJson(head.at("ownership"));
   readConfiguration(frame, out.delta);
   return out;
 }
@@ -304,6 +359,8 @@
   if (request.acceptsPacked) out.head["unpacks"] = true;
   if (request.detaching) out.head["leaves"] = true;
   if (!request.retryDemands.empty()) out.head["retries"] = demandsToJson(request.retryDemands);
+  if (request.ownershipVersion > 0) out.head["owners"] = request.ownershipVersion;
+  if (!request.keyCounts.empty()) out.head["keyCounts"] = keyCountsToJson(request.keyCounts);
   if (request.relay) writeRelayReport(out.head, *request.relay);
   return out;
 }
@@ -324,6 +381,7 @@
   if (response.delta.servers) writeServers(out, *response.delta.servers);
   writeGrants(out.head, response);
   writeRelays(out.head, response);
+  if (response.ownership) out.head["ownership"] = ownershipToJson(*response.ownership);
   writeConfiguration(out, response.delta);
   return out;
 }
--- a/src/fleet/follow_messages.hpp
+++ b/src/fleet/follow_messages.hpp
@@ -10,6 +10,8 @@
 
 #include "discovery/core_view.hpp"
 #include "fleet/change_log.hpp"
+#include "ownership/key_load.hpp"
+#include "ownership/owner_directory.hpp"
 #include "quota/request_sums.hpp"
 #include "quota/share_messages.hpp"
 
@@ -45,6 +47,8 @@
   RequestRateSums::Rates requestRates;    // by service, requests per second
   std::vector<ShareDemand> retryDemands;  // for the retry budgets of services
   std::uint64_t relayListHash = 0;        // of the follower's relay list; 0: none
+  std::uint64_t ownershipVersion = 0;     // of the follower's owner directory
+  KeyCounts keyCounts;                    // requests by key since the last report
   std::optional<RelayReport> relay;       // set if the follower is a relay
 };
 
@@ -74,6 +78,7 @@
   GrantBatch retryGrants;  // by service
   std::uint64_t relayListHash = 0;
   std::vector<RelayEndpoint> relays;  // in order of preference; empty: the follower already has this list
+  std::optional<OwnershipDelta> ownership;  // absent: the follower has all changes
 };
 
 }  // namespace lilacmux
--- a/src/fleet/follower.cpp
+++ b/src/fleet/follower.cpp
@@ -14,6 +14,7 @@
 constexpr double kDetachTimeout = 200;         // ms that the last request of a stopping follower may take
 constexpr double kPreferredRetryDelay = 5000;  // ms after which the most preferred candidate is tried again
 constexpr unsigned kFailuresToLog = 3;         // consecutive
+constexpr unsigned kRedirectsToLog = 20;       // consecutive, without a known primary
 
 std::chrono::milliseconds roundedUp(double ms) {
   return std::chrono::milliseconds(std::lround(std::ceil(ms)));
@@ -133,6 +134,9 @@
 
 void Follower::handleRedirect(const std::string& leader) {
   if (leader.empty()) {
+    if (++redirectsWithoutLeader_ == kRedirectsToLog)
+      callbacks_.log("no control process that responds knows a primary (" +
+                     std::to_string(redirectsWithoutLeader_) + " consecutive responses)");
     connectToNextCandidate();
     return requestFailed(kNoLeaderDelay);
   }
@@ -152,6 +156,7 @@
   if (response->epoch == 0) return handleRedirect(response->leader);
   if (failures_ >= kFailuresToLog) callbacks_.log("the control plane responds again");
   failures_ = 0;
+  redirectsWithoutLeader_ = 0;
   isKnownToPeer_ = response->holdingsKnown;
   selector_.markResponsive(client_->peer());
   awaitsNextRequest_ = true;
--- a/src/fleet/follower.hpp
+++ b/src/fleet/follower.hpp
@@ -70,8 +70,9 @@
   std::unique_ptr<FrameClient> client_;  // connected to the peer; null if there is no candidate
   boost::asio::steady_timer timer_;
   const Callbacks callbacks_;
-  unsigned failures_ = 0;       // consecutive requests without a response
-  bool isKnownToPeer_ = false;  // the peer has a record of this follower's holdings
+  unsigned failures_ = 0;                // consecutive requests without a response
+  unsigned redirectsWithoutLeader_ = 0;  // consecutive responses that named no primary
+  bool isKnownToPeer_ = false;           // the peer has a record of this follower's holdings
   bool detached_ = false;
   bool awaitsNextRequest_ = false;  // no request is in flight, so the next one may be sent early
   FollowSchedule schedule_;
--- a/src/fleet/primary_service.hpp
+++ b/src/fleet/primary_service.hpp
@@ -35,6 +35,7 @@
   // has replicated the relay's name. Only registered relays receive grants.
   void fillResponse(Millis now, const FollowRequest& request, bool isRegistered, FollowResponse& response);
 
+  const std::map<std::string, Instance>& servers() const { return log_.servers(); }  // by id
   std::uint64_t listIndex() const { return log_.index(); }
   std::uint64_t revision() const { return log_.revision(); }
   std::size_t relayCount(Millis now) const { return shares_.holderCount(now); }
--- a/src/fleet/relay.cpp
+++ b/src/fleet/relay.cpp
@@ -56,6 +56,8 @@
     out.relayListHash = relayListHash_;
     out.relays = rankRelays(request.name, request.zone, relays_, kMaxRelaysSent);
   }
+  out.ownership = owners_.deltaSince(request.ownershipVersion);
+  keyCounts_.merge(request.keyCounts);
   if (!request.requestRates.empty()) requestRates_.report(now, request.name, request.requestRates);
   grant(now, request, out);
   return out;
@@ -95,6 +97,7 @@
   out.position = log_.position();
   out.acceptsPacked = !needsUnpacked_;
   out.revision = log_.revision();
+  out.ownershipVersion = owners_.version();
   RelayReport report;
   report.address = endpoint_.address;
   report.gatewayCount = gatewayCount(now);
@@ -109,7 +112,9 @@
   out.relayListHash = relayListHash_;
   out.demands = quotas_.demands(now, scope);
   out.retryDemands = retries_.demands(now, scope);
-  if (scope != ReportScope::urgent) out.requestRates = requestRates_.rates();
+  if (scope == ReportScope::urgent) return out;
+  out.requestRates = requestRates_.rates();
+  out.keyCounts = std::exchange(keyCounts_, {});
   return out;
 }
 
@@ -125,6 +130,7 @@
   if (response.epoch < log_.epoch()) return;  // from a primary that has been replaced
   log_.apply(response.epoch, response.delta);
   needsUnpacked_ = response.delta.packedConfiguration && response.delta.revision > log_.revision();
+  if (response.ownership) owners_.apply(*response.ownership);
   gatewayCount_ = response.gatewayCount;
   listAge_ = response.listAgeMs;
   if (!response.relays.empty()) {
--- a/src/fleet/relay.hpp
+++ b/src/fleet/relay.hpp
@@ -35,6 +35,7 @@
 
   // Whether gateways are waiting for tokens that only the primary can grant.
   bool needsTokens() const { return quotas_.needsTokens() || retries_.needsTokens(); }
+  // The request takes the counts of keys along: they are reported once.
   FollowRequest nextRequest(Millis now, ReportScope scope);
   // Returns the last request of a stopping relay, which returns the tokens that no gateway holds.
   FollowRequest detachRequest(Millis now);
@@ -63,6 +64,8 @@
   ChangeLog log_;
   ShareRelay quotas_, retries_;
   RequestRateSums requestRates_;
+  OwnerDirectory owners_;              // replicated from the primary
+  KeyCounts keyCounts_;                // reported by gateways since the last report to the primary
   std::vector<RelayEndpoint> relays_;  // all relays, as listed by the primary
   std::uint64_t relayListHash_ = 0;
   std::size_t gatewayCount_ = 0;  // in the whole system, as reported by the primary
--- a/src/gateway/attempt_dispatcher.cpp
+++ b/src/gateway/attempt_dispatcher.cpp
@@ -5,6 +5,7 @@
 #include <optional>
 
 #include "gateway/local_response.hpp"
+#include "gateway/request_reader.hpp"
 #include "gateway/upstream_request.hpp"
 #include "net/steady.hpp"
 #include "upstream/pending_requests.hpp"
@@ -37,8 +38,11 @@
   ActiveRequest& request = context_.requests.add(std::move(routed));
   request.requestClass = context_.clusters.classOf(*request.route);
   request.service = &RouteTable::pickService(*request.route, context_.random.next());
-  request.cluster = context_.clusters.clusterFor(*request.service, request.requestClass);
+  const bool isSharded = request.table->isSharded(*request.service);
+  request.cluster = context_.clusters.clusterFor(*request.service, request.requestClass, isSharded);
   context_.admission.countRequest(*request.service);
+  const std::optional<Key> key = isSharded ? shardKeyOf(request.message) : std::nullopt;
+  if (key) context_.control.countKey(*request.service, *key);
   request.deadline.expires_after(toDuration(request.expires - now));
   request.deadline.async_wait([this, id](const Error& error) {
     if (!error) expire(id);
@@ -48,7 +52,7 @@
   forEngine.classIndex = request.requestClass;
   forEngine.expiresAt = request.expires;
   const auto cluster = request.cluster;
-  cluster->engine().handleRequest(now, forEngine);
+  cluster->handleRequest(now, forEngine, key);
 }
 
 void AttemptDispatcher::clientLeft(RequestId id) {
@@ -56,7 +60,7 @@
   if (!request) return;
   const auto cluster = request->cluster;
   context_.requests.remove(id, true);
-  cluster->engine().handleClientDisconnect(steadyMs(), id);
+  cluster->handleClientDisconnect(steadyMs(), id);
   if (auto end = context_.pool.giveUp(id, AttemptResult::cancelled)) attemptEnded(std::move(*end));
 }
 
@@ -69,10 +73,10 @@
     request->mayHaveRun = request->mayHaveRun || mayHaveRunAfter(end->outcome.result);
     inFlight_.erase(id);
     end->outcome.isRequestFinished = false;
-    cluster->engine().handleOutcome(std::max(steadyMs(), request->expires), end->outcome);
+    cluster->handleOutcome(std::max(steadyMs(), request->expires), end->outcome);
   }
   context_.requests.giveUp(id, kDefaultRetryAfter);
-  cluster->engine().handleClientDisconnect(steadyMs(), id);
+  cluster->handleClientDisconnect(steadyMs(), id);
 }
 
 void AttemptDispatcher::giveUpAll() {
@@ -84,10 +88,10 @@
       request.mayHaveRun = request.mayHaveRun || mayHaveRunAfter(end->outcome.result);
       inFlight_.erase(id);
       end->outcome.isRequestFinished = true;
-      cluster->engine().handleOutcome(steadyMs(), end->outcome);
+      cluster->handleOutcome(steadyMs(), end->outcome);
     }
     context_.requests.giveUp(id, kDefaultRetryAfter);
-    cluster->engine().handleClientDisconnect(steadyMs(), id);
+    cluster->handleClientDisconnect(steadyMs(), id);
   }
 }
 
@@ -148,7 +152,7 @@
     }
     if (isOpen() && !takeRetryToken(*request)) return awaitRetryToken(outcome, cluster, 1);
   }
-  cluster->engine().handleOutcome(steadyMs(), outcome);
+  cluster->handleOutcome(steadyMs(), outcome);
 }
 
 // What the attempt brought goes to the client, or is kept for the case that no other succeeds.
@@ -201,7 +205,7 @@
       context_.requests.giveUp(outcome.id, kDefaultRetryAfter);
     }
     outcome.isRequestFinished = outcome.isRequestFinished || !request;
-    cluster->engine().handleOutcome(steadyMs(), outcome);
+    cluster->handleOutcome(steadyMs(), outcome);
   });
 }
 
@@ -226,7 +230,7 @@
   auto& pending = *timer;
   pending.async_wait(
       [timer = std::move(timer), cluster = cluster.shared_from_this(), tag](const Error& error) {
-        if (!error) cluster->engine().handleTimer(steadyMs(), tag);
+        if (!error) cluster->handleTimer(steadyMs(), tag);
       });
 }
 
--- a/src/gateway/cluster.cpp
+++ b/src/gateway/cluster.cpp
@@ -31,12 +31,31 @@
 }
 
 Cluster::Cluster(std::string zone, const RequestClasses& classes, std::size_t gateways, std::uint64_t salt,
-                 Time now, ClusterHost& host)
+                 Time now, ClusterHost& host, KeyRouter::FindOwner findOwner)
     : zone_(std::move(zone)),
       classCount_(classes.settings().size()),
       host_(host),
       engine_(std::make_unique<DecisionEngine>(engineSettings(classes, gateways), salt, now,
-                                               static_cast<EngineActions&>(*this))) {}
+                                               static_cast<EngineActions&>(*this))) {
+  if (findOwner)
+    router_.emplace(classes.settings(), std::move(findOwner), static_cast<EngineActions&>(*this));
+}
+
+void Cluster::handleRequest(Time now, const EngineRequest& request, std::optional<Key> key) {
+  router_ ? router_->handleRequest(now, request, key) : engine_->handleRequest(now, request);
+}
+
+void Cluster::handleOutcome(Time now, const AttemptOutcome& outcome) {
+  router_ ? router_->handleOutcome(now, outcome) : engine_->handleOutcome(now, outcome);
+}
+
+void Cluster::handleClientDisconnect(Time now, RequestId id) {
+  router_ ? router_->handleClientDisconnect(id) : engine_->handleClientDisconnect(now, id);
+}
+
+void Cluster::handleTimer(Time now, std::uint64_t tag) {
+  router_ ? router_->handleTimer(now, tag) : engine_->handleTimer(now, tag);
+}
 
 void Cluster::setServers(Time now, const std::vector<Instance>& instances) {
   std::vector<ListedServer> servers;
--- a/src/gateway/cluster.hpp
+++ b/src/gateway/cluster.hpp
@@ -1,13 +1,16 @@
-// The servers of one service and the decision engine (include/lilacmux/decision_engine.hpp) that chooses
-// among them, ejects outliers and retries what may be retried. Clusters are shared: one that has been
-// replaced lives on until its last request has ended, since attempts and timers hold it.
+// The servers of one service and what chooses among them: the decision engine
+// (include/lilacmux/decision_engine.hpp), which ejects outliers and retries what may be retried, or a
+// KeyRouter if the service is sharded. Clusters are shared: one that has been replaced lives on until its
+// last request has ended, since attempts and timers hold it.
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "fleet/change_log.hpp"
+#include "gateway/key_router.hpp"
 #include "gateway/request_classes.hpp"
 #include "lilacmux/decision_engine.hpp"
 #include "settings/configuration.hpp"
@@ -39,15 +42,23 @@
 class Cluster : public std::enable_shared_from_this<Cluster>, private EngineActions {
  public:
   // `gateways`: how many gateways share the servers. `salt` seeds the engine's random draws. `classes` is
-  // read here alone: a class that is added later needs a new cluster.
+  // read here alone: a class that is added later needs a new cluster. `findOwner`: set if the service is
+  // sharded.
   Cluster(std::string zone, const RequestClasses& classes, std::size_t gateways, std::uint64_t salt, Time now,
-          ClusterHost& host);
+          ClusterHost& host, KeyRouter::FindOwner findOwner = nullptr);
 
   // Whether the class was there when the cluster was built.
   bool hasClass(unsigned requestClass) const { return requestClass < classCount_; }
   // Replaces the list of the service's servers.
   void setServers(Time now, const std::vector<Instance>& instances);
-  DecisionEngine& engine() { return *engine_; }
+  bool isSharded() const { return router_.has_value(); }
+
+  // As in DecisionEngine; `key`: of a request to a sharded service.
+  void handleRequest(Time now, const EngineRequest& request, std::optional<Key> key);
+  void handleOutcome(Time now, const AttemptOutcome& outcome);
+  void handleClientDisconnect(Time now, RequestId id);
+  void handleTimer(Time now, std::uint64_t tag);
+  PoolView poolView(Time now) const { return engine_->poolView(now); }
 
  private:
   void send(RequestId id, ServerId server, Time timeout) override { host_.send(*this, id, server, timeout); }
@@ -61,6 +72,7 @@
   const std::size_t classCount_;
   ClusterHost& host_;
   std::unique_ptr<DecisionEngine> engine_;
+  std::optional<KeyRouter> router_;
 };
 
 }  // namespace lilacmux
--- a/src/gateway/cluster_manager.cpp
+++ b/src/gateway/cluster_manager.cpp
@@ -12,10 +12,12 @@
 
 }  // namespace
 
-ClusterManager::ClusterManager(std::string zone, const Instances& instances, UpstreamConnectionPool& pool,
-                               ClusterHost& host, const RandomSequence& random, Log log)
+ClusterManager::ClusterManager(std::string zone, const Instances& instances, const OwnerDirectory& owners,
+                               UpstreamConnectionPool& pool, ClusterHost& host, const RandomSequence& random,
+                               Log log)
     : zone_(std::move(zone)),
       instances_(instances),
+      owners_(owners),
       pool_(pool),
       host_(host),
       random_(random),
@@ -45,16 +47,28 @@
   }
 }
 
-std::shared_ptr<Cluster> ClusterManager::clusterFor(const std::string& service, unsigned requestClass) {
+std::shared_ptr<Cluster> ClusterManager::clusterFor(const std::string& service, unsigned requestClass,
+                                                    bool isSharded) {
   auto& cluster = clusters_[service];
-  if (cluster && cluster->hasClass(requestClass)) return cluster;
+  if (cluster && cluster->hasClass(requestClass) && cluster->isSharded() == isSharded) return cluster;
   const std::size_t gateways = gatewayCount_ > 0 ? gatewayCount_ : kAssumedGateways;
   const std::uint64_t salt = random_.state() ^ serverIdOf(service);
-  cluster = std::make_shared<Cluster>(zone_, classes_, gateways, salt, steadyMs(), host_);
+  KeyRouter::FindOwner owner;
+  if (isSharded) owner = [this, service](Key key) { return findOwner(service, key); };
+  cluster = std::make_shared<Cluster>(zone_, classes_, gateways, salt, steadyMs(), host_, std::move(owner));
   updateCluster(service);
   return cluster;
 }
 
+// A draining server is sent nothing more, though it holds the key until it is released.
+std::optional<ServerId> ClusterManager::findOwner(const std::string& service, Key key) const {
+  const std::string* const owner = owners_.ownerOf(service, key);
+  if (!owner) return std::nullopt;
+  const auto instance = instances_.find(*owner);
+  if (instance == instances_.end() || instance->second.draining) return std::nullopt;
+  return serverIdOf(*owner);
+}
+
 void ClusterManager::updateCluster(const std::string& service) {
   const auto cluster = clusters_.find(service);
   if (cluster == clusters_.end()) return;
--- a/src/gateway/cluster_manager.hpp
+++ b/src/gateway/cluster_manager.hpp
@@ -14,6 +14,7 @@
 #include "gateway/cluster.hpp"
 #include "gateway/random_sequence.hpp"
 #include "gateway/request_classes.hpp"
+#include "ownership/owner_directory.hpp"
 #include "upstream/connection_pool.hpp"
 
 namespace lilacmux {
@@ -24,9 +25,10 @@
   using Instances = std::map<std::string, Instance>;                 // by id
   using Clusters = std::map<std::string, std::shared_ptr<Cluster>>;  // by service
 
-  // `instances`: the server list, which this reads whenever a cluster is built or updated.
-  ClusterManager(std::string zone, const Instances& instances, UpstreamConnectionPool& pool,
-                 ClusterHost& host, const RandomSequence& random, Log log);
+  // `instances`: the server list, which this reads whenever a cluster is built or updated. `owners`: of the
+  // keys of sharded services, read for each request to one.
+  ClusterManager(std::string zone, const Instances& instances, const OwnerDirectory& owners,
+                 UpstreamConnectionPool& pool, ClusterHost& host, const RandomSequence& random, Log log);
 
   // The list has changed by these.
   void update(const FollowerState::Update& update);
@@ -34,8 +36,9 @@
   void setGatewayCount(std::size_t count) { gatewayCount_ = count; }
 
   unsigned classOf(const Route& route) { return classes_.classOf(route); }
-  // The service's cluster; a new one where there is none that knows the class.
-  std::shared_ptr<Cluster> clusterFor(const std::string& service, unsigned requestClass);
+  // The service's cluster; a new one where there is none that knows the class, or whether it is sharded has
+  // changed.
+  std::shared_ptr<Cluster> clusterFor(const std::string& service, unsigned requestClass, bool isSharded);
   // The instance's id as the platform spells it; empty where the server was never listed.
   const std::string& instanceId(ServerId server) { return instanceIds_[server]; }
   const Clusters& clusters() const { return clusters_; }
@@ -43,9 +46,11 @@
  private:
   void add(const Instance& instance);
   void updateCluster(const std::string& service);
+  std::optional<ServerId> findOwner(const std::string& service, Key key) const;
 
   const std::string zone_;
   const Instances& instances_;
+  const OwnerDirectory& owners_;
   UpstreamConnectionPool& pool_;
   ClusterHost& host_;
   const RandomSequence& random_;
--- a/src/gateway/control_client.cpp
+++ b/src/gateway/control_client.cpp
@@ -1,5 +1,7 @@
 #include "gateway/control_client.hpp"
 
+#include <utility>
+
 #include "net/steady.hpp"
 
 namespace lilacmux {
@@ -45,6 +47,7 @@
   out.revision = revision();
   out.acceptsPacked = !patchFailed_;
   out.relayListHash = relayListHash_;
+  out.ownershipVersion = owners_.version();
   return out;
 }
 
@@ -53,6 +56,7 @@
   out.full = scope == ReportScope::full;
   if (out.full) out.relayListHash = 0;
   admission_.addDemands(steadyMs(), scope, out);
+  if (scope != ReportScope::urgent) out.keyCounts = std::exchange(keyCounts_, {});
   return out;
 }
 
@@ -74,6 +78,7 @@
   if (state_.accepts(response)) {
     gatewayCount_ = response.gatewayCount;
     listener_.gatewayCountChanged(gatewayCount_);
+    if (response.ownership) owners_.apply(*response.ownership);
     applyConfiguration(response.delta);
     listener_.serversChanged(state_.apply(response, sentAt, revision()));
   }
--- a/src/gateway/control_client.hpp
+++ b/src/gateway/control_client.hpp
@@ -12,6 +12,8 @@
 #include "fleet/follower_state.hpp"
 #include "gateway/admission_control.hpp"
 #include "gateway/route_table.hpp"
+#include "ownership/key_load.hpp"
+#include "ownership/owner_directory.hpp"
 #include "settings/settings.hpp"
 
 namespace lilacmux {
@@ -47,6 +49,9 @@
   const std::shared_ptr<const RouteTable>& routes() const { return routes_; }  // nullptr: none yet
   std::uint64_t revision() const { return routes_ ? routes_->revision() : 0; }
   const FollowerState& state() const { return state_; }
+  const OwnerDirectory& owners() const { return owners_; }
+  // Counts a request for a key of a sharded service, for the next report.
+  void countKey(const std::string& service, Key key) { keyCounts_.add(service, key); }
   std::size_t gatewayCount() const { return gatewayCount_; }  // 0: not known yet
 
  private:
@@ -68,6 +73,8 @@
   std::shared_ptr<const std::string> body_;  // of the configuration in force: the next may come as a patch
   bool patchFailed_ = false;                 // the last packed configuration could not be unpacked
   FollowerState state_;                      // the server list, and the lease
+  OwnerDirectory owners_;
+  KeyCounts keyCounts_;  // since the last report
   std::size_t gatewayCount_ = 0;
   std::uint64_t relayListHash_ = 0;
   std::unique_ptr<Follower> follower_;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -84,7 +84,8 @@
       requestAdmission_(
           {io, admission_, control_, dispatcher_, inboundLink_, outboundLink_, random_, counters_}),
       control_(io, settings_, admission_, *this, log_),
-      clusters_(settings_.zone, control_.state().instances(), pool_, dispatcher_, random_, log_),
+      clusters_(settings_.zone, control_.state().instances(), control_.owners(), pool_, dispatcher_, random_,
+                log_),
       status_({settings_, control_, clusters_, requests_, requestAdmission_, pool_, server_, inboundLink_,
                outboundLink_, figures_, counters_}),
       drainTimer_(io) {
@@ -94,6 +95,7 @@
                           [this](CallServer::Call&& call, const CallServer::Respond& respond) {
                             respond(respondToOperator(call));
                           });
+  log_(seedsText(settings_));
   control_.start();
 }
 
@@ -115,7 +117,7 @@
 
 void Gateway::reload(const NodeSettings& settings) {
   control_.setSeeds(controlSeeds(settings));
-  log_("settings read");
+  log_("settings reloaded; " + seedsText(settings));
 }
 
 // Goes on accepting until the platform has noticed, then answers what there is within the grace period.
--- a/src/gateway/gateway_status.cpp
+++ b/src/gateway/gateway_status.cpp
@@ -23,7 +23,7 @@
     out[instance.service].draining += instance.draining;
   }
   for (const auto& [service, cluster] : clusters.clusters())
-    if (cluster) out[service].avoided = cluster->engine().poolView(steadyMs()).avoided;
+    if (cluster) out[service].avoided = cluster->poolView(steadyMs()).avoided;
   return out;
 }
 
@@ -106,7 +106,7 @@
 void GatewayStatus::addServerGauges(Exposition& out) const {
   for (const auto& [service, cluster] : sources_.clusters.clusters()) {
     if (!cluster) continue;
-    const auto pool = cluster->engine().poolView(steadyMs());
+    const auto pool = cluster->poolView(steadyMs());
     out.gauge("lilacmux_servers", "Servers of a service, as listed", static_cast<double>(pool.listed),
               {{"service", service}});
     out.gauge("lilacmux_servers_avoided", "Servers that are sent to only where there is no other",
--- a/src/gateway/request_reader.cpp
+++ b/src/gateway/request_reader.cpp
@@ -13,7 +13,7 @@
 
 // A request that repeats one of these may mean one thing to the gateway and another to a server.
 bool hasRepeatedField(const ClientMessage& message) {
-  for (const char* name : {"Host", "X-Api-Key", "X-Attempt-Id", "X-Deadline-Remaining-Ms"})
+  for (const char* name : {"Host", "X-Api-Key", "X-Attempt-Id", "X-Deadline-Remaining-Ms", "X-Shard-Key"})
     if (countOf(message, name) > 1) return true;
   return false;
 }
@@ -52,6 +52,11 @@
   return routes.find(view(message[http::field::host]), pathOf(message));
 }
 
+std::optional<Key> shardKeyOf(const ClientMessage& message) {
+  const auto key = number<Key>(view(message["X-Shard-Key"]));
+  return key && *key < kKeyCount ? key : std::nullopt;
+}
+
 const Tenant* findTenant(const ClientMessage& message, const RouteTable& routes) {
   return routes.tenantOf(view(message["X-Api-Key"]));
 }
--- a/src/gateway/route_table.cpp
+++ b/src/gateway/route_table.cpp
@@ -23,6 +23,8 @@
     routes_.try_emplace(normalizedHost(route.host) + route.prefix, &route);
     longestPrefix_ = std::max(longestPrefix_, route.prefix.size());
   }
+  for (const Service& service : configuration_.services)
+    if (service.isSharded) shardedServices_.insert(service.name);
   for (const Tenant& tenant : configuration_.tenants)
     for (const std::string& key : tenant.apiKeys) keys_[key] = &tenant;
 }
--- a/src/gateway/route_table.hpp
+++ b/src/gateway/route_table.hpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "settings/configuration.hpp"
@@ -25,6 +26,8 @@
   const Tenant* tenantOf(std::string_view key) const;
   // Whether requests of the route must bring an API key.
   bool needsKey(const Route& route) const { return configuration_.hasTenants && !route.isPublic; }
+  // Whether each key of the service is served by the one server that holds it.
+  bool isSharded(const std::string& service) const { return shardedServices_.contains(service); }
   // One of the services that the route is split over, by weight; `draw` from 0 to below 1.
   static const std::string& pickService(const Route& route, double draw);
 
@@ -40,6 +43,7 @@
   ByText<const Route*> routes_;    // by host and prefix, which begins and ends with a slash
   std::size_t longestPrefix_ = 0;  // bytes
   ByText<const Tenant*> keys_;
+  std::unordered_set<std::string> shardedServices_;
 };
 
 }  // namespace lilacmux
--- a/src/settings/configuration.cpp
+++ b/src/settings/configuration.cpp
@@ -48,6 +48,14 @@
   return out;
 }
 
+// False if the field is absent.
+bool readFlag(const json& object, const char* name, const std::string& path) {
+  const json* value = find(object, name);
+  if (!value) return false;
+  if (!value->is_boolean()) fail(path, std::string(name) + " is neither true nor false");
+  return value->get<bool>();
+}
+
 // An empty list if the field is absent. All entries are objects.
 const json& readList(const json& object, const char* name, const std::string& path) {
   static const json empty = json::array();
@@ -100,10 +108,7 @@
   out.priority = static_cast<unsigned>(readNumber(entry, "priority", path, 0, kMaxCount));
   out.maxAttempts =
       static_cast<unsigned>(std::max(1.0, readNumber(entry, "maxAttempts", path, 1, kMaxCount)));
-  if (const json* isPublic = find(entry, "public")) {
-    if (!isPublic->is_boolean()) fail(path, "public is neither true nor false");
-    out.isPublic = isPublic->get<bool>();
-  }
+  out.isPublic = readFlag(entry, "public", path);
   out.targets = readTargets(entry, path);
   return out;
 }
@@ -227,6 +232,7 @@
       service.healthPath = requireText(entry, "healthCheckPath", "service " + service.name);
     service.maxConnections =
         static_cast<unsigned>(readNumber(entry, "maxConnections", "service " + service.name, 0, kMaxCount));
+    service.isSharded = readFlag(entry, "sharded", "service " + service.name);
     out.services.push_back(std::move(service));
   }
   std::set<std::pair<std::string, std::string>> hostsAndPrefixes;
--- a/src/settings/configuration.hpp
+++ b/src/settings/configuration.hpp
@@ -36,6 +36,7 @@
   std::string name;
   std::string healthPath;       // empty: no health checks by path
   unsigned maxConnections = 0;  // to one server; 0: not set
+  bool isSharded = false;       // each key is served by the one server that holds it
 };
 
 struct Tenant {
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -128,6 +128,8 @@
   readNumber(bounds, "quotaSlack", out.quotaSlack);
   readNumber(bounds, "retryBudgetRatio", out.retryBudgetRatio);
   readNumber(bounds, "retryBudgetSlack", out.retryBudgetSlack);
+  readNumber(bounds, "maxHoldMs", out.maxHoldMs);
+  if (out.maxHoldMs <= 0) fail("maxHoldMs", "is 0");
   if (out.quotaWindowS <= 0) fail("quotaWindowS", "is 0");
   if (out.revocationGlobal && out.revocationMs < kMinGlobalRevocationMs)
     fail("revocationMs", "is under a second");
@@ -163,6 +165,12 @@
   return out;
 }
 
+std::string seedsText(const NodeSettings& settings) {
+  std::string out = "seeds:";
+  for (const Endpoint& seed : settings.seeds) out.append(" ").append(textOf(seed));
+  return out;
+}
+
 std::string textOf(const Endpoint& endpoint) {
   return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
 }
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -44,6 +44,7 @@
   double quotaSlack = 0;          // requests in a window by which it may be exceeded besides
   double retryBudgetRatio = 0;    // of a service's requests; with no slack either: no budget
   double retryBudgetSlack = 0;    // retries in a window
+  double maxHoldMs = 10000;       // the longest lease of keys that a server may be granted; above 0
 
   // How long (ms) a gateway may serve after it asked the primary for the state that it goes by, if revocation
   // is global.
@@ -85,6 +86,8 @@
 inline unsigned short controlPort(const NodeSettings& settings) { return settings.firstPort; }
 // The internal addresses of the seeds' control processes.
 std::vector<Endpoint> controlSeeds(const NodeSettings& settings);
+// The seeds as a log line states them.
+std::string seedsText(const NodeSettings& settings);
 // `ip:port`, as in messages and on disk.
 std::string textOf(const Endpoint& endpoint);
 
