--- a/tests/consensus/state_store_test.cpp
+++ b/tests/consensus/state_store_test.cpp
@@ -32,7 +32,8 @@
     out.dataEpoch = number;
     std::string body(bytes, '\0');
     body += std::to_string(number);
-    out.state = {number, number, std::make_shared<const std::string>(std::move(body)), {}, {"g"}};
+    out.state = {number, number, std::make_shared<const std::string>(std::move(body)),
+                 {},     {"g"},  std::make_shared<const std::string>("table " + std::to_string(number))};
     out.state.accepted = AcceptedChanges(number / 2, {{number, sha256(*out.state.body)}});
     return out;
   }
