--- a/src/gatekeeper/call_reader.cpp
+++ b/src/gatekeeper/call_reader.cpp
@@ -85,7 +85,7 @@
   if (!klass && !named) return Rejection{http::status::not_found, "no such path"};
   if (!klass) return Rejection{kBad, "unknown class"};
   const auto id = hex(header(head, "Req-Id"));
-  if (!id) return Rejection{kBad, "kBad Req-Id"};
+  if (!id) return Rejection{kBad, "bad Req-Id"};
   Call call;
   call.id = *id;
   call.klass = *klass;
@@ -95,14 +95,14 @@
   if (!plan) return Rejection{kBad, "unknown plan"};
   call.plan = *plan;
   const auto customer = hex(valueOf(target, '&', "client"));
-  if (!customer || *customer >= kCustomers) return Rejection{kBad, "kBad customer"};
+  if (!customer || *customer >= kCustomers) return Rejection{kBad, "bad customer"};
   call.customer = *customer;
   const auto patience = number<std::uint64_t>(header(head, "Req-Deadline-Ms"));
   if (!patience || *patience < 1 || static_cast<double>(*patience) > kMaxPatience)
-    return Rejection{kBad, "kBad Req-Deadline-Ms"};
+    return Rejection{kBad, "bad Req-Deadline-Ms"};
   call.patience = static_cast<double>(*patience);
   if (!readTerms(header(head, "X-Call-Terms"), config.settings, call))
-    return Rejection{kBad, "kBad X-Call-Terms"};
+    return Rejection{kBad, "bad X-Call-Terms"};
   return call;
 }
 
--- a/tests/gatekeeper/bad_clients_test.cpp
+++ b/tests/gatekeeper/bad_clients_test.cpp
@@ -83,6 +83,23 @@
   with([](Ask& a) { a.klass = "order", a.extra = "Idempotency-Key: 1\r\n"; });
 }
 
+// Guards against texts that a rename of constants has reached.
+TEST_F(BadClients, ARejectionSaysWhichFieldIsBad) {
+  open({});
+  const auto textOf = [&](const std::function<void(Ask&)>& change) {
+    Ask what;
+    change(what);
+    const auto client = dial(server->address());
+    client->send(what.text());
+    until([&] { return client->ended; }, "the connection ends");
+    return client->got.substr(client->got.find("\r\n\r\n") + 4);
+  };
+  EXPECT_EQ(textOf([](Ask& a) { a.id = "12"; }), "bad Req-Id\n");
+  EXPECT_EQ(textOf([](Ask& a) { a.query = "client=x"; }), "bad customer\n");
+  EXPECT_EQ(textOf([](Ask& a) { a.deadline = "nan"; }), "bad Req-Deadline-Ms\n");
+  EXPECT_EQ(textOf([](Ask& a) { a.terms = "units=1x,spread=2,first=1"; }), "bad X-Call-Terms\n");
+}
+
 // The id tells the workers, and those who count, which request is meant.
 TEST_F(BadClients, TheIdOfARequestThatIsOpenIsRejected) {
   open({});
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -29,7 +29,9 @@
 export CCACHE_SLOPPINESS=pch_defines,time_macros
 
 if [ "${1:-}" = --build ]; then
-  cmake -S . -B build -DCMAKE_BUILD_TYPE=Release
+  # The folder may have been configured with other options before.
+  cmake -S . -B build -DCMAKE_BUILD_TYPE=Release -DLILACMUX=ON -DLILACMUX_TESTS=OFF -DLILACMUX_FUZZ=OFF \
+    -DLILACMUX_SANITIZE=OFF
   exec cmake --build build -j"$(nproc)"
 fi
 
