--- a/src/control/primary_role.cpp
+++ b/src/control/primary_role.cpp
@@ -54,6 +54,7 @@
 void PrimaryRole::apply(Millis now, std::uint64_t epoch, const ChangeLog& followed,
                         const ReplicatedState& committed) {
   if (!primary_) begin(now, epoch, followed, committed);
+  proposedForRemoval_.clear();
   ownership_->onCommitted(committed);
   if (primary_->revision() == committed.revision && configured_) return;
   configured_ = true;
@@ -77,6 +78,7 @@
 void PrimaryRole::end() {
   primary_.reset();
   unreplicatedGrantHolders_.clear();
+  proposedForRemoval_.clear();
   // Destroys both later, as this may run inside one of their handlers.
   boost::asio::post(io_, [ownership = std::shared_ptr<OwnershipRole>(std::move(ownership_))] {});
   boost::asio::post(io_, [watcher = std::shared_ptr<PlatformWatcher>(std::move(watcher_))] {});
@@ -105,7 +107,8 @@
 void PrimaryRole::fillResponse(Millis now, const FollowRequest& request, const ReplicatedState& committed,
                                FollowResponse& response) {
   const std::string grantHolder = nameWithoutIncarnation(request.name);
-  const bool isReplicated = committed.grantHolders.contains(grantHolder);
+  const bool isReplicated =
+      committed.grantHolders.contains(grantHolder) && !proposedForRemoval_.contains(grantHolder);
   if (!isReplicated) {
     unreplicatedGrantHolders_.insert(grantHolder);
     onProposalDue_();
@@ -125,8 +128,11 @@
   if (unreplicatedGrantHolders_.empty() || !replica.canPropose(now)) return;
   ReplicatedState next = replica.committed();
   ++next.sequence;
-  std::erase_if(next.grantHolders,
-                [&](const std::string& grantHolder) { return primary_->hasExpired(now, grantHolder); });
+  std::erase_if(next.grantHolders, [&](const std::string& grantHolder) {
+    const bool isRemoved = primary_->hasExpired(now, grantHolder);
+    if (isRemoved) proposedForRemoval_.insert(grantHolder);
+    return isRemoved;
+  });
   next.grantHolders.merge(unreplicatedGrantHolders_);
   unreplicatedGrantHolders_.clear();
   replica.propose(now, next);
--- a/src/control/primary_role.hpp
+++ b/src/control/primary_role.hpp
@@ -88,6 +88,9 @@
   std::unique_ptr<OwnershipRole> ownership_;  // while active
   std::unique_ptr<PlatformWatcher> watcher_;  // while active, if there is an address
   std::set<std::string> unreplicatedGrantHolders_;
+  // Dropped by the pending proposal. They get no grants: once it is committed, the next primary does not
+  // wait for their reports.
+  std::set<std::string> proposedForRemoval_;
   std::uint64_t activationCount_ = 0;
   bool configured_ = false;  // the committed configuration has been applied since the role began
 };
--- a/src/experiment/ownership_run.cpp
+++ b/src/experiment/ownership_run.cpp
@@ -73,13 +73,13 @@
   // One primary's time in office.
   class Term : public LeaseCaller {
    public:
-    Term(World& world, std::uint64_t number, const OwnershipTable& committed)
-        : number_(number), world_(world), leases_(world.now_, world.rule_, *this, committed) {}
-    void send(const LeaseCall& call) override { world_.transmit(number_, call); }
+    Term(World& itsWorld, std::uint64_t itsNumber, const OwnershipTable& committed)
+        : number(itsNumber), world(itsWorld), leases(itsWorld.now_, itsWorld.rule_, *this, committed) {}
+    void send(const LeaseCall& call) override { world.transmit(number, call); }
 
-    const std::uint64_t number_;
-    World& world_;
-    LeaseManager leases_;
+    const std::uint64_t number;
+    World& world;
+    LeaseManager leases;
     Millis frozenUntil = 0;
     Millis nextPlanAt = 0;
     bool isProposing = false;
@@ -119,8 +119,8 @@
   void tick(Term* term) {
     if (current_ != term) return;
     if (mayAct(*term)) {
-      term->leases_.setServers(listedServers());
-      term->leases_.tick(now_);
+      term->leases.setServers(listedServers());
+      term->leases.tick(now_);
       if (now_ >= term->nextPlanAt && !term->isProposing) propose(*term);
     }
     after(kTick, [this, term] { tick(term); });
@@ -141,16 +141,16 @@
     PlacementInput input;
     input.service = kService;
     for (const auto& [id, server] : servers_)
-      if (server.isListed && !server.isDraining && !term.leases_.isUnresponsive(now_, id))
+      if (server.isListed && !server.isDraining && !term.leases.isUnresponsive(now_, id))
         input.servers.push_back(id);
-    input.isHandedOver = [&](Fence fence) { return term.leases_.isHandedOver(fence); };
-    input.isRejected = [&](Fence fence) { return term.leases_.isRejected(fence); };
+    input.isHandedOver = [&](Fence fence) { return term.leases.isHandedOver(fence); };
+    input.isRejected = [&](Fence fence) { return term.leases.isRejected(fence); };
     bool changed = planAssignments(input, next);
     changed = moveAtRandom(term, input.servers, next) || changed;
     changed = clearHandovers(term, next) || changed;
     if (!changed) return;
     term.isProposing = true;
-    if (plan_.mutant == OwnershipMutant::grantsBeforeCommit) term.leases_.setTable(now_, next);
+    if (plan_.mutant == OwnershipMutant::grantsBeforeCommit) term.leases.setTable(now_, next);
     const Millis commitDelay =
         isFaulty() && random_.chance() < 0.2 ? random_.between(60, 600) : random_.between(5, 60);
     if (isFaulty() && random_.chance() < 0.05)
@@ -160,7 +160,7 @@
       committed_ = next;
       term.isProposing = false;
       if (!mayAct(term)) return;
-      term.leases_.setTable(now_, committed_);
+      term.leases.setTable(now_, committed_);
     });
   }
 
@@ -169,7 +169,7 @@
     const auto assignments = table.assignments(kService);
     if (assignments.empty() || assignments.size() > 60) return false;
     const Assignment& from = random_.oneOf(assignments);
-    if (from.hasPrevious() || !term.leases_.isHandedOver(from.fence) || from.keys.size() < 4) return false;
+    if (from.hasPrevious() || !term.leases.isHandedOver(from.fence) || from.keys.size() < 4) return false;
     KeyRange part = from.keys;
     if (random_.chance() < 0.7) part.last = part.first + part.size() / 2;
     const std::string& to = random_.oneOf(servers);
@@ -180,7 +180,7 @@
   static bool clearHandovers(const Term& term, OwnershipTable& table) {
     std::vector<Fence> done;
     for (const Assignment& each : table.assignments(kService))
-      if (each.hasPrevious() && term.leases_.isHandedOver(each.fence)) done.push_back(each.fence);
+      if (each.hasPrevious() && term.leases.isHandedOver(each.fence)) done.push_back(each.fence);
     for (const Fence fence : done) table.clearPrevious(kService, fence);
     return !done.empty();
   }
@@ -231,7 +231,7 @@
       return;
     }
     *ended = true;
-    sender.leases_.callEnded(now_, call, result);
+    sender.leases.callEnded(now_, call, result);
   }
 
   // --- Faults
@@ -343,9 +343,9 @@
       if (!held) ++outcome_.unowned;
     }
     for (const auto& term : terms_) {
-      outcome_.grants += term->leases_.counts().grants;
-      outcome_.releases += term->leases_.counts().releases;
-      outcome_.lapses += term->leases_.counts().lapses;
+      outcome_.grants += term->leases.counts().grants;
+      outcome_.releases += term->leases.counts().releases;
+      outcome_.lapses += term->leases.counts().lapses;
     }
   }
 
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -54,6 +54,9 @@
   ctest --test-dir "build-test/$kind" --output-on-failure -j"$(nproc)"
 done
 
+# The whole system under signals, restarts and changes; longer runs are made by hand.
+python3 tests/soak/soak.py --program build-test/plain/lilacmux --seed 1 --count 3 --seconds 25
+
 # The model of the core's agreement, and that what its mutants break is found.
 bash tests/model/check.sh
 
