Serve no answer that is joined from two

What callers saw: 200 where their server had given 500, two seals of which one was another's, or 200 with the right length and foreign bytes inside, from servers that answer twice with the second answer cut, or cut an answer off and send it again on the same connection. Cause: a head was taken for one head whatever its reason and values held, and a body with a told length was not looked at; only bodies without a length were. So a second status line could stand in a reason or a value, and a repetition's head in a body. Change: ResponseAttribution is the one place that says whose response the bytes of a connection are and whether it may carry another request: a head that holds a second status line, two ids or two seals belongs to nobody; a body with a length that holds the head of a response with an X-Attempt-Id is broken off; where its last bytes may begin such a head, what follows is awaited for 10 ms.

--- a/src/gateway/upstream_response_reader.cpp
+++ b/src/gateway/upstream_response_reader.cpp
@@ -19,6 +19,7 @@
 ResponseOwnership UpstreamResponseReader::ownership(const http::response_header<>& head,
                                                     const std::string& id) const {
   if (id.empty() || countOf(head, "X-Attempt-Id") != 1) return ResponseOwnership::unknown;
+  if (countOf(head, "X-Server-Seal") > 1) return ResponseOwnership::unknown;
   return view(head["X-Attempt-Id"]) == id ? ResponseOwnership::ours : ResponseOwnership::anothers;
 }
 
--- a/src/upstream/connection.cpp
+++ b/src/upstream/connection.cpp
@@ -35,7 +35,8 @@
       pool_(pool),
       socket_(pool.io_),
       timer_(pool.io_),
-      bytes_(pool.budget_) {}
+      bytes_(pool.budget_),
+      attribution_(pool.reader_) {}
 
 void UpstreamConnectionPool::Connection::begin(RequestId id, unsigned attempt, UpstreamRequest message,
                                                std::optional<Clock::duration> timeout) {
@@ -48,8 +49,8 @@
   out_ = std::move(message);
   written_ = writeFailed_ = false;
   busy_ = true;
-  streaming_ = surplus_ = false;
-  interim_ = 0;
+  streaming_ = false;
+  attribution_.begin(out_.id);
   await();
   if (connected_)
     write();
@@ -114,6 +115,7 @@
 void UpstreamConnectionPool::Connection::expire() {
   if (!busy_) return pool_.drop(*this);
   if (!connected_) return end(AttemptResult::connectFailed);
+  if (awaitsBytesBehind_) return isStale() ? awaitBytesBehind() : decideEnd(true);
   if (streaming_) return end(AttemptResult::reset);
   end(responseBegun_ && Clock::now() < giveUpAt_ ? AttemptResult::malformed : AttemptResult::timeout);
 }
--- a/src/upstream/connection.hpp
+++ b/src/upstream/connection.hpp
@@ -12,11 +12,11 @@
 #include <string>
 #include <vector>
 
-#include "http/appended_response.hpp"
 #include "http/http.hpp"
 #include "http/memory_budget.hpp"
 #include "upstream/attempt.hpp"
 #include "upstream/connection_pool.hpp"
+#include "upstream/response_attribution.hpp"
 
 namespace lilacmux {
 
@@ -105,7 +105,7 @@
   // Whether the connection's end is the response's: its length is told by nothing else, the server ended it
   // in order, and nothing that has come may belong to a further response. A write that failed has taken the
   // socket's error, so after it a reset looks like an orderly end; and the shutdown that follows makes one.
-  bool endsResponse(const Error& error) const;
+  bool endsResponse(const Error& error);
 
   void readFailed(const Error& error);
 
@@ -115,8 +115,11 @@
   // `n`: bytes that have just come.
   void take(std::size_t n = 0);
 
-  // Looks at what has come of a body whose end nothing but the connection's tells.
-  bool hasAppendedResponse();
+  // Takes the head that has come; whether the body may follow. Else the connection or the response has ended.
+  bool takeHead();
+
+  // Whether what has come of the body is all of this response.
+  bool examineBody();
 
   bool isLarge() const;
 
@@ -131,22 +134,21 @@
   // read once that is through; the read is then the only thing that waits for the server.
   void forward();
 
-  // Whether the head tells in one way where the response ends. A connection's orderly end may tell it too;
-  // one that was cut off is reset.
-  bool readable();
-
-  // A server may answer an earlier attempt once more, where the response to this one is due. What it sends
-  // then goes to nobody, and this attempt's answer may still come behind it. False: nobody can tell whose
-  // this is.
-  bool isOurs();
-
   void discardSurplus(bool done);
 
   // An interim response, or a surplus one; the one that counts is still to come.
   void awaitNextResponse();
 
+  // The response has come to its end. Where its last bytes may begin another one, what follows is awaited.
+  void completeResponse();
+  void awaitBytesBehind();
+  void decideEnd(bool isLast);
+
   void responseComplete();
 
+  // Whether the exchange was a whole and ordinary one, so that nothing of it is left on either side.
+  bool isReusable() const;
+
   void end(AttemptResult result);
 
   UpstreamConnectionPool& pool_;
@@ -161,10 +163,9 @@
   std::optional<ResponseHead> head_;                 // of one that goes on
   Clock::time_point startedAt_, giveUpAt_, firstByteAt_;
   std::uint64_t requestedBytes_ = 0;  // bytes of a large response that have come or are on their way
-  AppendedResponseScanner appended_;
-  std::size_t scanned_ = 0;           // bytes of the body held here that the scanner has seen
+  ResponseAttribution attribution_;
+  std::size_t examined_ = 0;          // bytes of the body held here that `attribution_` has seen
   std::vector<std::string> openIds_;  // of attempts here whose requests may be sent once more
-  unsigned interim_ = 0;
   bool connected_ = false;
   bool busy_ = false;
   bool written_ = false;  // the request's last byte: from here on it may have run
@@ -174,8 +175,7 @@
   bool streaming_ = false;      // and the client has its begin
   bool reading_ = false;
   bool peerClosed_ = false;
-  bool discarding_ = false;  // what comes answers an earlier attempt
-  bool surplus_ = false;     // and so nothing more goes out here
+  bool awaitsBytesBehind_ = false;  // a response that has its length
   bool closed_ = false;
 };
 
--- a/src/upstream/connection_response.cpp
+++ b/src/upstream/connection_response.cpp
@@ -12,21 +12,20 @@
 
 constexpr std::uint64_t kUnknown = std::numeric_limits<std::uint64_t>::max();  // a response's length
 constexpr std::size_t kMaxOpenIds = 16;  // of requests that were answered on one connection and not for good
-constexpr unsigned kMaxInterim = 8;      // 1xx responses, or surplus ones, ahead of one
+// What a server sends in one go follows within this time.
+constexpr auto kBytesBehindWithin = std::chrono::milliseconds(10);
 
 }  // namespace
 
 void UpstreamConnectionPool::Connection::more() {
-  if (!streaming_ || !busy_ || reading_) return;
-  if (parser_->is_done()) return responseComplete();
-  if (peerClosed_) return end(AttemptResult::reset);
+  if (!streaming_ || !busy_ || (reading_ && !parser_->is_done())) return;
+  if (peerClosed_ && !parser_->is_done()) return end(AttemptResult::reset);
   forward();
 }
 
 void UpstreamConnectionPool::Connection::await() {
-  responseBegun_ = discarding_ = false;
-  appended_ = {};
-  scanned_ = 0;
+  responseBegun_ = awaitsBytesBehind_ = false;
+  examined_ = 0;
   head_.reset();
   requestedBytes_ = 0;
   parser_.emplace();
@@ -82,13 +81,15 @@
                           }));
 }
 
-bool UpstreamConnectionPool::Connection::endsResponse(const Error& error) const {
+bool UpstreamConnectionPool::Connection::endsResponse(const Error& error) {
   return error == asio::error::eof && !writeFailed_ && parser_->is_header_done() && parser_->need_eof() &&
-         appended_.undecided() == 0;
+         attribution_.examineEnd({}, true) == ResponseAttribution::EndVerdict::whole;
 }
 
 void UpstreamConnectionPool::Connection::readFailed(const Error& error) {
   peerClosed_ = true;
+  if (awaitsBytesBehind_) return decideEnd(true);
+  if (parser_->is_done()) return;  // its last bytes are on their way to the client
   Error failed = error;
   if (endsResponse(error)) {
     failed = {};
@@ -106,39 +107,54 @@
 void UpstreamConnectionPool::Connection::take(std::size_t n) {
   if (!responseBegun_) firstByteAt_ = Clock::now();
   responseBegun_ = true;
+  if (awaitsBytesBehind_) return decideEnd(false);
+  if (parser_->is_done()) return;
   awaitMore();
   Error error;
   if (!parser_->is_header_done()) {
     const bool head = feed(*parser_, in_, error, Feed::head);
-    if (error || (head && !readable())) return end(AttemptResult::malformed);
-    if (head && parser_->get().result_int() < 200) return awaitNextResponse();
-    if (head && !isOurs()) return end(AttemptResult::malformed);
-    if (head) result_ = pool_.reader_.read(parser_->get(), outcome_);
-    if (head && pool_.reader_.isForwardable(result_)) head_ = headOf();
+    if (error) return end(AttemptResult::malformed);
+    if (head && !takeHead()) return;
   }
   count(n);
   const bool done = feed(*parser_, in_, error);
   if (error) return end(streaming_ ? AttemptResult::reset : AttemptResult::malformed);
-  if (discarding_) return discardSurplus(done);
-  if (hasAppendedResponse()) return end(streaming_ ? AttemptResult::reset : AttemptResult::malformed);
+  if (parser_->is_header_done()) {
+    if (!examineBody()) return end(streaming_ ? AttemptResult::reset : AttemptResult::malformed);
+    if (attribution_.isSurplus()) return discardSurplus(done);
+  }
   if (streaming_) return forward();
   auto& body = parser_->get().body();
   // Nobody reads what stands in a response that does not go on.
-  if (parser_->is_header_done() && !pool_.reader_.isForwardable(result_)) body.consume(body.size());
+  if (parser_->is_header_done() && !pool_.reader_.isForwardable(result_)) {
+    body.consume(body.size());
+    examined_ = 0;
+  }
   if (!bytes_.growTo(body.capacity() + in_.capacity())) return end(AttemptResult::malformed);
   if (isLarge()) return result_ == AttemptResult::ok ? stream() : end(AttemptResult::malformed);
-  if (done) return responseComplete();
+  if (done) return completeResponse();
   read();
 }
 
-bool UpstreamConnectionPool::Connection::hasAppendedResponse() {
-  if (!parser_->is_header_done() || !parser_->need_eof() || !pool_.reader_.isForwardable(result_))
-    return false;
+bool UpstreamConnectionPool::Connection::takeHead() {
+  using Verdict = ResponseAttribution::HeadVerdict;
+  const auto& head = parser_->get();
+  const Verdict verdict = attribution_.examineHead(head, parser_->need_eof());
+  if (verdict == Verdict::untrusted) end(AttemptResult::malformed);
+  if (verdict == Verdict::interim) awaitNextResponse();
+  if (verdict == Verdict::untrusted || verdict == Verdict::interim) return false;
+  if (verdict == Verdict::surplus) return true;
+  result_ = pool_.reader_.read(head, outcome_);
+  if (pool_.reader_.isForwardable(result_)) head_ = headOf();
+  return true;
+}
+
+bool UpstreamConnectionPool::Connection::examineBody() {
   const auto bytes = parser_->get().body().data();
   const std::string_view body(static_cast<const char*>(bytes.data()), bytes.size());
-  appended_.feed(body.substr(scanned_));
-  scanned_ = body.size();
-  return appended_.found();
+  const std::string_view unseen = body.substr(examined_);
+  examined_ = body.size();
+  return attribution_.examineBody(unseen);
 }
 
 bool UpstreamConnectionPool::Connection::isLarge() const {
@@ -164,8 +180,8 @@
 
 void UpstreamConnectionPool::Connection::forward() {
   auto& body = parser_->get().body();
-  const std::size_t ready = body.size() - appended_.undecided();
-  if (ready == 0 && parser_->is_done()) return responseComplete();
+  const std::size_t ready = body.size() - std::min(body.size(), attribution_.heldBack());
+  if (ready == 0 && parser_->is_done()) return completeResponse();
   if (ready == 0) {
     arm(Clock::now() + pool_.limits_.streamsOnWithin);
     return read();
@@ -173,38 +189,46 @@
   timer_.cancel();
   std::string bytes(static_cast<const char*>(body.data().data()), ready);
   body.consume(ready);
-  scanned_ -= std::min(scanned_, ready);
+  examined_ -= std::min(examined_, ready);
   pool_.sink_.piece(outcome_.id, std::move(bytes));
 }
 
-bool UpstreamConnectionPool::Connection::readable() {
-  const auto& head = parser_->get();
-  return plainFraming(head) && head.result() != http::status::switching_protocols;
-}
-
-bool UpstreamConnectionPool::Connection::isOurs() {
-  const auto whose = pool_.reader_.ownership(parser_->get(), out_.id);
-  discarding_ = whose == ResponseOwnership::anothers;
-  surplus_ = surplus_ || discarding_;
-  return whose != ResponseOwnership::unknown && !(discarding_ && parser_->need_eof());
-}
-
 void UpstreamConnectionPool::Connection::discardSurplus(bool done) {
   auto& body = parser_->get().body();
   body.consume(body.size());
+  examined_ = 0;
   done ? awaitNextResponse() : read();
 }
 
 void UpstreamConnectionPool::Connection::awaitNextResponse() {
-  if (++interim_ > kMaxInterim) return end(AttemptResult::malformed);
   await();
   arm(giveUpAt_);
   if (in_.size() > 0) return take();
   read();
 }
 
+void UpstreamConnectionPool::Connection::completeResponse() { decideEnd(peerClosed_); }
+
+void UpstreamConnectionPool::Connection::decideEnd(bool isLast) {
+  using Verdict = ResponseAttribution::EndVerdict;
+  const auto bytes = in_.data();
+  const std::string_view behind(static_cast<const char*>(bytes.data()), bytes.size());
+  const Verdict verdict = attribution_.examineEnd(behind, isLast);
+  if (verdict == Verdict::undecided) return awaitBytesBehind();
+  if (verdict == Verdict::joined) return end(streaming_ ? AttemptResult::reset : AttemptResult::malformed);
+  awaitsBytesBehind_ = false;
+  attribution_.releaseHeldBack();
+  streaming_ && parser_->get().body().size() > 0 ? forward() : responseComplete();
+}
+
+void UpstreamConnectionPool::Connection::awaitBytesBehind() {
+  awaitsBytesBehind_ = true;
+  arm(Clock::now() + kBytesBehindWithin);
+  if (!reading_) readNow();
+}
+
 void UpstreamConnectionPool::Connection::responseComplete() {
-  auto& answer = parser_->get();
+  const auto& answer = parser_->get();
   AttemptEnd whole;
   outcome_.result = result_;
   stamp();
@@ -212,13 +236,10 @@
     outcome_.elapsed = std::chrono::duration<double, std::milli>(firstByteAt_ - startedAt_).count();
   whole.outcome = outcome_;
   whole.head = std::exchange(head_, std::nullopt);
-  // Kept only if the exchange was a whole and ordinary one: nothing of it is left on either side.
-  const bool reusable = written_ && !writing_ && !peerClosed_ && !surplus_ && in_.size() == 0 &&
-                        answer.keep_alive() && openIds_.size() < kMaxOpenIds;
   whole.body.assign(static_cast<const char*>(answer.body().data().data()), answer.body().size());
   busy_ = false;
   const auto self = shared_from_this();
-  if (reusable) {
+  if (isReusable()) {
     pool_.keep(self);
     if (!closed_) read();
   } else {
@@ -227,4 +248,9 @@
   pool_.finish(*this, std::move(whole));
 }
 
+bool UpstreamConnectionPool::Connection::isReusable() const {
+  return written_ && !writing_ && !reading_ && !peerClosed_ && attribution_.isClean() && in_.size() == 0 &&
+         parser_->get().keep_alive() && openIds_.size() < kMaxOpenIds;
+}
+
 }  // namespace lilacmux
--- a/src/upstream/response_reader.hpp
+++ b/src/upstream/response_reader.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <string>
+#include <string_view>
 
 #include "http/http.hpp"
 #include "lilacmux/decision_engine.hpp"
@@ -23,6 +24,8 @@
   virtual ResponseOwnership ownership(const http::response_header<>&, const std::string& /*id*/) const {
     return ResponseOwnership::ours;
   }
+  // The field by which a response names its attempt; empty: there is none.
+  virtual std::string_view attemptField() const { return {}; }
   // By its head: what the response says of the attempt. Fills in what else of the outcome the head tells.
   virtual AttemptResult read(const http::response_header<>& head, AttemptOutcome& outcome) const = 0;
   // The fields that go on to the client.
--- a/tests/fuzz/answers_fuzz.cpp
+++ b/tests/fuzz/answers_fuzz.cpp
@@ -19,6 +19,7 @@
 #include <vector>
 
 #include "gateway/upstream_response_reader.hpp"
+#include "http/appended_response.hpp"
 #include "upstream/connection_pool.hpp"
 
 namespace {
@@ -77,6 +78,9 @@
     require(view(end.head->fields["X-Attempt-Id"]) == carried_, "another's answer");
     const auto status = static_cast<unsigned>(end.head->status);
     require(status >= 300 || countOf(end.head->fields, "X-Server-Seal") == 1, "a success without a stamp");
+    AppendedResponseScanner scanner("X-Attempt-Id");
+    scanner.feed(end.body);
+    require(!scanner.found(), "another answer within a body");
   }
   // The first byte tells how many cuts there are, the next ones how long each piece is.
   void write(tcp::socket& peer, const std::string& input) {
--- a/tests/gateway/response_fault_run.cpp
+++ b/tests/gateway/response_fault_run.cpp
@@ -161,6 +161,12 @@
     }
     case Act::saysClose:
       return connection->send(head(sealedFields(id) + "Connection: close\r\n"));
+    case Act::doubledLateInPart:
+    case Act::doubledNextInPart:
+    case Act::cutAndRepeated:
+      return actCutAndRepeated(what, connection, good, draw);
+    case Act::largeCutAndRepeated:
+      return actCutAndRepeated(what, connection, sendLarge(), draw);
     case Act::endDelimited:
     case Act::endDelimitedDoubled:
     case Act::endDelimitedDoubledLate:
@@ -174,6 +180,24 @@
   }
 }
 
+void ResponseFaultRun::actCutAndRepeated(Act what, const Connection& connection, const std::string& good,
+                                         std::mt19937& draw) {
+  const unsigned soon = draw() % 8;
+  const std::string part = good.substr(0, 1 + draw() % good.size());
+  switch (what) {
+    case Act::doubledLateInPart:
+      connection->send(good);
+      return later(soon, [connection, part] { connection->send(part); });
+    case Act::doubledNextInPart:
+      connection->send(good);
+      connection->owed = part;
+      return;
+    default:
+      connection->send(part);
+      return later(soon, [connection, good] { connection->send(good); });
+  }
+}
+
 void ResponseFaultRun::actEndDelimited(Act what, const Connection& connection, const std::string& id,
                                        std::mt19937& draw) {
   const std::string small = endDelimited(id, bodyOf(id)), large = endDelimited(id, largeBodyOf(id));
--- a/tests/gateway/response_fault_run.hpp
+++ b/tests/gateway/response_fault_run.hpp
@@ -87,7 +87,11 @@
     endDelimitedReset,
     endDelimitedLargeDoubled,
     endDelimitedLargeReset,
-    last = endDelimitedLargeReset
+    doubledLateInPart,
+    doubledNextInPart,
+    cutAndRepeated,
+    largeCutAndRepeated,
+    last = largeCutAndRepeated
   };
   struct Client {
     std::shared_ptr<ClientConnection> connection;
@@ -127,6 +131,7 @@
     servers_[id].statuses.insert(200);
     return "HTTP/1.1 200 OK\r\n" + sealedFields(id) + "\r\n" + body;
   }
+  void actCutAndRepeated(Act what, const Connection& connection, const std::string& good, std::mt19937& draw);
   void actEndDelimited(Act what, const Connection& connection, const std::string& id, std::mt19937& draw);
 
   // --- clients
--- a/tests/gateway/upstream_responses_test.cpp
+++ b/tests/gateway/upstream_responses_test.cpp
@@ -1,43 +1,11 @@
 // An answer goes to the request whose id it carries, and to no other, however surplus ones come.
-#include <thread>
+#include "gateway/upstream_responses.hpp"
 
-#include "gatekeeper/sides.hpp"
-#include "gateway/upstream_response_reader.hpp"
+#include <thread>
 
 namespace lilacmux::test {
 namespace {
 
-class UpstreamResponses : public Pool {
- protected:
-  UpstreamResponses() {
-    byId.emplace(io, UpstreamConnectionPool::Limits{}, budget, figures, reader,
-                 static_cast<ResponseSink&>(*this),
-                 [this](AttemptEnd&& end) { ends.push_back(std::move(end)); });
-    byId->place(1, {worker.address(), 0});
-  }
-  // An attempt that gave this id, once it is at the server.
-  void ask(RequestId id, const std::string& carried) {
-    const std::size_t before = worker.count("\r\n\r\n");
-    byId->start(id, 0, 1, {"GET / HTTP/1.1\r\nX-Attempt-Id: " + carried + "\r\n\r\n", nullptr, 0, carried},
-                std::nullopt);
-    untilSeen(before + 1);
-  }
-  static std::string seal(const std::string& id, const std::string& body) {
-    return reply("200 OK", body, "X-Server-Seal: s\r\nX-Attempt-Id: " + id + "\r\n");
-  }
-
-  // Nothing more of a request can be written, since the server reads no further.
-  void untilStuck() {
-    until([&] { return !worker.peers.empty(); }, "a connection");
-    worker.peers[0]->pause();
-    do io.restart();
-    while (io.poll() > 0);
-  }
-
-  const UpstreamResponseReader reader;
-  std::optional<UpstreamConnectionPool> byId;
-};
-
 TEST_F(UpstreamResponses, ALateSurplusAnswerIsPassedOverAndEndsItsConnection) {
   ask(1, "a");
   worker.peers.back()->send(seal("a", "first"));
@@ -218,16 +186,7 @@
   worker.peers[0]->send("HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\nX-Attempt-Id: a\r\n\r\n" + large +
                         seal("a", large));
   worker.peers[0]->end();
-  std::string got;
-  until(
-      [&] {
-        for (std::string& each : std::exchange(pieces, {})) {
-          got += each;
-          byId->more(1);
-        }
-        return !ends.empty();
-      },
-      "its end");
+  const std::string got = streamUntilEnd(1);
   EXPECT_NE(ends[0].outcome.result, AttemptResult::ok);
   EXPECT_LE(got.size(), large.size());
   EXPECT_EQ(got, large.substr(0, got.size()));
