Leave what comes on an idle connection where the next request sees it

What callers saw: an answer whose first bytes were those of a late second answer to an earlier request, though those had come before the request was sent. Cause: a connection that came to rest started a read. Bytes that were there already were taken from the system at once and reported by a later handler; a request that began in between looked at an empty socket, found the connection sound and was written, and the bytes were taken for its answer. Change: an idle connection waits for bytes without taking them (watchIdle), so that the look at it (isStale) sees them.

--- a/src/upstream/connection.hpp
+++ b/src/upstream/connection.hpp
@@ -20,8 +20,8 @@
 
 namespace lilacmux {
 
-// One connection. A read is pending from the moment it is up: while an attempt is out it brings the response,
-// while none is, whatever it brings ends the connection.
+// One connection. While an attempt is out a read is pending, which brings the response. While none is, the
+// connection waits for bytes without taking them, and whatever comes ends it.
 class UpstreamConnectionPool::Connection : public std::enable_shared_from_this<Connection> {
  public:
   Connection(UpstreamConnectionPool& pool, ServerId to, const boost::asio::ip::tcp::endpoint& at);
@@ -102,6 +102,9 @@
 
   void readNow();
 
+  // Waits for what a server sends on an idle connection, and leaves it to isStale().
+  void watchIdle();
+
   // Whether the connection's end is the response's: its length is told by nothing else, the server ended it
   // in order, and nothing that has come may belong to a further response. A write that failed has taken the
   // socket's error, so after it a reset looks like an orderly end; and the shutdown that follows makes one.
--- a/src/upstream/connection_response.cpp
+++ b/src/upstream/connection_response.cpp
@@ -10,6 +10,8 @@
 namespace lilacmux {
 namespace {
 
+using asio::ip::tcp;
+
 constexpr std::uint64_t kUnknown = std::numeric_limits<std::uint64_t>::max();  // a response's length
 constexpr std::size_t kMaxOpenIds = 16;  // of requests that were answered on one connection and not for good
 // What a server sends in one go follows within this time.
@@ -81,6 +83,16 @@
                           }));
 }
 
+void UpstreamConnectionPool::Connection::watchIdle() {
+  reading_ = true;
+  socket_.async_wait(tcp::socket::wait_read, guard([this](const Error& error, std::size_t) {
+                       reading_ = false;
+                       if (!busy_) return pool_.drop(*this);
+                       if (error) return readFailed(error);
+                       readNow();
+                     }));
+}
+
 bool UpstreamConnectionPool::Connection::endsResponse(const Error& error) {
   return error == asio::error::eof && !writeFailed_ && parser_->is_header_done() && parser_->need_eof() &&
          attribution_.examineEnd({}, true) == ResponseAttribution::EndVerdict::whole;
@@ -241,7 +253,7 @@
   const auto self = shared_from_this();
   if (isReusable()) {
     pool_.keep(self);
-    if (!closed_) read();
+    if (!closed_) watchIdle();
   } else {
     pool_.drop(*this);
   }
--- a/tests/gateway/joined_responses_test.cpp
+++ b/tests/gateway/joined_responses_test.cpp
@@ -212,5 +212,26 @@
   EXPECT_TRUE(isServed(answer));
 }
 
+// Bytes that come while the connection rests are seen by the request that would use it next, also if that
+// begins within the end of the one before: they never stand before its answer.
+TEST_F(JoinedResponses, WhatCameBeforeARequestIsNoPartOfItsAnswer) {
+  const std::size_t head = answerOf(Framing::length, "a", 200, std::string(1000, 'x')).text.size() - 1000;
+  // The read that takes the answer takes no byte behind it.
+  const Answer first = answerOf(Framing::length, "a", 200, std::string(kReadStep - head, 'x'));
+  ASSERT_EQ(first.text.size(), kReadStep);
+  const Answer second = answerOf(Framing::length, "b", 500, "the second one's");
+  onEnd = [this] {
+    if (ends.size() == 1) begin(2, "b");
+  };
+  ask(1, "a");
+  worker.peers[0]->send(first.text + statusLine(200).substr(0, 16));
+  untilSeen(2);
+  ASSERT_EQ(worker.peers.size(), 2u) << "the connection is used again";
+  worker.peers[1]->send(second.text);
+  untilEnds(2);
+  ends.erase(ends.begin());
+  EXPECT_TRUE(isServed(second));
+}
+
 }  // namespace
 }  // namespace lilacmux::test
