Take no second answer for the next call's on connections of our own calls

What could be seen: the answer to one grant or release of keys, or to one question for the platform's list, taken for the next one's, where a server or the platform answers a call twice. Cause: Fetcher kept what was left in its buffer, and wrote the next call without a look at the socket. Change: a connection with bytes behind an answer, or with bytes or an end that came while it rested, carries no further call. A second answer that comes after the next call has been written cannot be told: these answers carry no id.

--- a/src/net/fetch.cpp
+++ b/src/net/fetch.cpp
@@ -23,7 +23,15 @@
   Session(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& address, const Options& options)
       : stream_(io), address_(address), options_(options) {}
 
-  bool usable() const { return !broken_; }
+  // Whether the next call may go out on this connection: nothing of an earlier exchange has come since.
+  bool usable() {
+    if (broken_) return false;
+    char byte;
+    Error error;
+    stream_.socket().receive(boost::asio::buffer(&byte, 1), boost::asio::ip::tcp::socket::message_peek,
+                             error);
+    return error == boost::asio::error::would_block;
+  }
 
   void call(FetchRequest request, std::chrono::milliseconds within, CallDone done) {
     request_ = http::request<http::string_body>(request.method, request.target, 11);
@@ -39,6 +47,8 @@
     stream_.async_connect(address_, [self = shared_from_this(), this](const Error& error) {
       if (error) return finish(error);
       up_ = true;
+      Error ignored;
+      stream_.socket().non_blocking(true, ignored);
       applyOptions();
       write();
     });
@@ -81,7 +91,7 @@
       stream_.close();
     } else {
       auto answer = parser_->release();
-      broken_ = !answer.keep_alive();
+      broken_ = !answer.keep_alive() || in_.size() > 0;
       Fetched fetched;
       fetched.status = answer.result_int();
       fetched.body = std::move(answer.body());
