Do not run a booking again whose head a server has

Cause: a write that failed counted as a request that had not reached its server, though its head and most of its body had gone out. Such an attempt ended as connectFailed, which proves that nothing has run, and was not counted against maxAttempts or the budget. Change: an attempt counts as not run only if the system did not take in the whole head: before that no server can know what is asked. Related paths: the gatekeeper shares this pool; Fetcher (our own calls) says wasSent before it writes; attempts that end by time or by a client's leaving were reported as sent before. The test ARequestThatIsHalfWrittenWhenItsConnectionBreaksHasNotRun was wrong: it demanded connectFailed for a request whose whole head was out. PROTOCOL.md: "after a reset, a close or silence, a request that was sent may have run". It is replaced by two as strict: a half-written body may have run, a half-written head has not (ARequestWhoseHeadIsHalfWritten...).

--- a/src/upstream/connection.cpp
+++ b/src/upstream/connection.cpp
@@ -47,7 +47,7 @@
   startedAt_ = Clock::now();
   giveUpAt_ = timeout ? startedAt_ + *timeout : Clock::time_point::max();
   out_ = std::move(message);
-  written_ = writeFailed_ = false;
+  headWritten_ = writeFailed_ = false;
   busy_ = true;
   streaming_ = false;
   attribution_.begin(out_.id);
@@ -59,8 +59,8 @@
 }
 
 AttemptOutcome UpstreamConnectionPool::Connection::stop(AttemptResult result) {
-  const bool sent =
-      written_ || responseBegun_ || result == AttemptResult::cancelled || result == AttemptResult::abandoned;
+  const bool sent = headWritten_ || responseBegun_ || result == AttemptResult::cancelled ||
+                    result == AttemptResult::abandoned;
   busy_ = false;
   outcome_.result = sent ? result : AttemptResult::connectFailed;
   stamp();
@@ -159,15 +159,15 @@
 void UpstreamConnectionPool::Connection::write() {
   arm(giveUpAt_);
   endHead();
-  written_ = writing_ = true;
+  headWritten_ = writing_ = true;
   const std::string_view body = out_.body ? std::string_view(*out_.body) : std::string_view{};
   const std::array<asio::const_buffer, 2> all{asio::buffer(out_.head),
                                               asio::buffer(body.data(), body.size())};
-  asio::async_write(socket_, all, guard([this](const Error& error, std::size_t) {
+  asio::async_write(socket_, all, guard([this](const Error& error, std::size_t written) {
                       writing_ = false;
                       if (!error) pool_.counters_.attempted(out_.klass);
                       if (!error || !busy_) return;
-                      written_ = false;
+                      headWritten_ = written >= out_.head.size();
                       writeFailed_ = true;
                       Error ignored;  // the pending read tells the rest, and that ends soon
                       socket_.shutdown(tcp::socket::shutdown_both, ignored);
--- a/src/upstream/connection.hpp
+++ b/src/upstream/connection.hpp
@@ -82,9 +82,9 @@
   // What a connection took to come up is gone from the time that the server is told.
   void endHead();
 
-  // From here on the request may have run, unless the system tells that its last byte was not written: the
-  // system takes it in within this call, however much later the handler runs. A server may answer what it has
-  // not read whole, and that it has run: so what has come is read before anything is said.
+  // From here on the request may have run, unless the system tells that it did not take in the whole head: it
+  // takes that in within this call, however much later the handler runs. A server may run a request whose
+  // body it has not read, and lose its answer.
   void write();
 
   std::size_t stepOfBody() const;
@@ -171,8 +171,8 @@
   std::vector<std::string> openIds_;  // of attempts here whose requests may be sent once more
   bool connected_ = false;
   bool busy_ = false;
-  bool written_ = false;  // the request's last byte: from here on it may have run
-  bool writing_ = false;  // the request's bytes are still in use
+  bool headWritten_ = false;  // the request's, whole: from here on it may have run
+  bool writing_ = false;      // the request's bytes are still in use
   bool writeFailed_ = false;
   bool responseBegun_ = false;  // the response's first byte has come
   bool streaming_ = false;      // and the client has its begin
--- a/src/upstream/connection_response.cpp
+++ b/src/upstream/connection_response.cpp
@@ -261,8 +261,8 @@
 }
 
 bool UpstreamConnectionPool::Connection::isReusable() const {
-  return written_ && !writing_ && !reading_ && !peerClosed_ && attribution_.isClean() && in_.size() == 0 &&
-         parser_->get().keep_alive() && openIds_.size() < kMaxOpenIds;
+  return headWritten_ && !writing_ && !writeFailed_ && !reading_ && !peerClosed_ && attribution_.isClean() &&
+         in_.size() == 0 && parser_->get().keep_alive() && openIds_.size() < kMaxOpenIds;
 }
 
 }  // namespace lilacmux
--- a/tests/gateway/upstream_responses_test.cpp
+++ b/tests/gateway/upstream_responses_test.cpp
@@ -118,13 +118,24 @@
   EXPECT_EQ(ends[0].outcome.result, AttemptResult::reset);
 }
 
-// Without a byte of an answer, and the last of its own never written: nobody can have run it.
-TEST_F(UpstreamResponses, ARequestThatIsHalfWrittenWhenItsConnectionBreaksHasNotRun) {
+// Guards against a booking that runs twice: a server runs a request before it has read a long body, and the
+// connection is reset before its answer comes.
+TEST_F(UpstreamResponses, ARequestWhoseBodyIsHalfWrittenWhenItsConnectionBreaksMayHaveRun) {
   const auto body = std::make_shared<const std::string>(32'000'000, 'b');
   byId->start(1, 0, 1, {"POST / HTTP/1.1\r\nX-Attempt-Id: a\r\n\r\n", body, 0, "a"}, std::nullopt);
   untilStuck();
   worker.peers[0]->end();
   untilEnds(1);
+  EXPECT_EQ(ends[0].outcome.result, AttemptResult::reset);
+}
+
+// The end of its head was never written, so no server can know what is asked.
+TEST_F(UpstreamResponses, ARequestWhoseHeadIsHalfWrittenWhenItsConnectionBreaksHasNotRun) {
+  const std::string head = "GET / HTTP/1.1\r\nX-Attempt-Id: a\r\nX-Long: " + std::string(32'000'000, 'h');
+  byId->start(1, 0, 1, {head + "\r\n\r\n", nullptr, 0, "a"}, std::nullopt);
+  untilStuck();
+  worker.peers[0]->end();
+  untilEnds(1);
   EXPECT_EQ(ends[0].outcome.result, AttemptResult::connectFailed);
 }
 
