Refuse a configuration with a text that is not UTF-8, and end no process for one

Cause: the MessagePack reader does not check texts, and the JSON writer throws on those that are not UTF-8: when a name went into the head of a frame (demands, rates), nothing caught that. Change: a new configuration with such a text, as a value or as a field's name, at any depth, cannot be read whole: 400. One that is in force already, from an earlier version, is still read (parseAcceptedConfiguration), and frames, packed lists and status replies replace such bytes instead of throwing (toJsonText). Related path: the platform's list, whose texts go the same way; a page with such a text is malformed, as one with a field of the wrong type.

--- a/src/control/control_status.cpp
+++ b/src/control/control_status.cpp
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include "metrics/exposition.hpp"
+#include "net/json_text.hpp"
 
 namespace lilacmux {
 namespace {
@@ -88,7 +89,7 @@
   nlohmann::json out = {{"role", "control"}, {"node", status.name}, {"address", status.address}};
   if (!status.core) {
     out["part"] = "without a disk";
-    return out.dump();
+    return toJsonText(out);
   }
   addCore(out, *status.core, status.machineFailures);
   if (status.primary) {
@@ -97,7 +98,7 @@
     addOwnership(out, status.primary->ownership);
   }
   out["relay"] = {{"gatekeepers", status.relay.gatewayCount}, {"revision", status.relay.revision}};
-  return out.dump();
+  return toJsonText(out);
 }
 
 std::string metricsText(const ControlStatus& status) {
--- a/src/control/primary_role.cpp
+++ b/src/control/primary_role.cpp
@@ -21,7 +21,7 @@
 // Returns the committed configuration; an empty one if there is none that can be read.
 Configuration configurationOf(const ReplicatedState& state) {
   if (!state.body) return {};
-  auto parsed = parseConfiguration(*state.body);
+  auto parsed = parseAcceptedConfiguration(*state.body);
   auto* const configuration = std::get_if<Configuration>(&parsed);
   return configuration ? std::move(*configuration) : Configuration{};
 }
--- a/src/fleet/server_list_page.cpp
+++ b/src/fleet/server_list_page.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "net/json_text.hpp"
+
 namespace lilacmux {
 namespace {
 
@@ -9,6 +11,9 @@
 
 constexpr const char* kAvailable = "available";  // a server in any other state is draining
 
+// A text of an entry that cannot be told to other processes; does not leave this file.
+struct NotUtf8 {};
+
 Instance parseInstance(const json& entry) {
   Instance out;
   entry.at("instanceId").get_to(out.id);
@@ -18,6 +23,8 @@
   if (entry.contains("capacity") && entry["capacity"].is_number()) entry["capacity"].get_to(out.capacity);
   if (entry.contains("warmupRemainingMs") && entry["warmupRemainingMs"].is_number())
     entry["warmupRemainingMs"].get_to(out.warmupMs);
+  for (const std::string* text : {&out.id, &out.service, &out.address, &out.zone})
+    if (!isUtf8(*text)) throw NotUtf8();
   out.draining = entry.at("state").get<std::string>() != kAvailable;
   return out;
 }
@@ -30,6 +37,8 @@
       return "the page is not a complete MessagePack object";
     case ServerListPageError::malformedField:
       return "a field is missing or has the wrong type";
+    case ServerListPageError::malformedText:
+      return "a text is not UTF-8";
   }
   return "";
 }
@@ -45,6 +54,8 @@
     return out;
   } catch (const json::exception&) {
     return ServerListPageError::malformedField;
+  } catch (const NotUtf8&) {
+    return ServerListPageError::malformedText;
   }
 }
 
--- a/src/fleet/server_list_page.hpp
+++ b/src/fleet/server_list_page.hpp
@@ -18,6 +18,7 @@
 enum class ServerListPageError {
   malformedMessage,  // not a complete MessagePack object
   malformedField,    // a field is missing or has the wrong type
+  malformedText,     // a text is not UTF-8, so no other process can be told it
 };
 
 // Returns a description for the log.
--- a/src/fleet/snapshot_pack.cpp
+++ b/src/fleet/snapshot_pack.cpp
@@ -3,6 +3,8 @@
 #include <nlohmann/json.hpp>
 #include <string>
 
+#include "net/json_text.hpp"
+
 namespace lilacmux {
 
 std::shared_ptr<const Packed> SnapshotPacker::pack(const ListPosition& position,
@@ -10,7 +12,7 @@
   if (list.size() < kMinServers) return nullptr;
   for (const auto& [cachedPosition, packed] : cached_)
     if (cachedPosition == position) return packed;
-  const std::string text = nlohmann::json(list).dump();
+  const std::string text = toJsonText(list);
   cached_.emplace_back(position, std::make_shared<const Packed>(lilacmux::pack(text, nullptr)));
   if (cached_.size() > kMaxCachedLists) cached_.pop_front();
   return cached_.back().second;
--- a/src/gateway/control_client.cpp
+++ b/src/gateway/control_client.cpp
@@ -104,7 +104,7 @@
 
 // Whether it is in force from now on: never an older version than before in one life of the process.
 bool ControlClient::configure(const std::string& body) {
-  auto parsed = parseConfiguration(body);
+  auto parsed = parseAcceptedConfiguration(body);
   if (const auto* error = std::get_if<std::string>(&parsed)) {
     log_("a configuration is invalid: " + *error);
     return false;
--- a/src/gateway/gateway_status.cpp
+++ b/src/gateway/gateway_status.cpp
@@ -6,6 +6,7 @@
 
 #include "consensus/epoch.hpp"
 #include "metrics/exposition.hpp"
+#include "net/json_text.hpp"
 #include "net/steady.hpp"
 
 namespace lilacmux {
@@ -47,7 +48,7 @@
       {"gatekeepers", control.gatewayCount()},
       {"held", heldRequests()},
       {"services", services}};
-  return out.dump() + "\n";
+  return toJsonText(out) + "\n";
 }
 
 std::string GatewayStatus::metrics(bool ready) const {
--- a/src/net/frame.cpp
+++ b/src/net/frame.cpp
@@ -2,6 +2,8 @@
 
 #include <stdexcept>
 
+#include "net/json_text.hpp"
+
 namespace lilacmux {
 namespace {
 
@@ -20,7 +22,7 @@
 }  // namespace
 
 std::string encode(const Frame& frame) {
-  const std::string head = frame.head.dump();
+  const std::string head = toJsonText(frame.head);
   if (head.size() > kMaxFrameHead || frame.body.size() > kMaxFrameBody)
     throw std::length_error("frame too long");
   std::string out;
--- a/src/settings/configuration.cpp
+++ b/src/settings/configuration.cpp
@@ -7,6 +7,8 @@
 #include <utility>
 #include <vector>
 
+#include "net/json_text.hpp"
+
 namespace lilacmux {
 namespace {
 
@@ -156,6 +158,9 @@
 // Route.
 class StreamingReader : public json::json_sax_t {
  public:
+  enum class Texts { utf8, any };
+  explicit StreamingReader(Texts texts) : texts_(texts) {}
+
   json root;
   std::vector<Route> routes;
 
@@ -164,11 +169,11 @@
   bool number_integer(number_integer_t value) override { return put(value); }
   bool number_unsigned(number_unsigned_t value) override { return put(value); }
   bool number_float(number_float_t value, const string_t&) override { return put(value); }
-  bool string(string_t& value) override { return put(std::move(value)); }
+  bool string(string_t& value) override { return mayHold(value) && put(std::move(value)); }
   bool binary(binary_t& value) override { return put(json::binary(std::move(value))); }
   bool key(string_t& name) override {
     key_ = std::move(name);
-    return true;
+    return mayHold(key_);
   }
   bool start_object(std::size_t) override { return open(json::object()); }
   bool start_array(std::size_t) override { return open(json::array()); }
@@ -177,6 +182,7 @@
   bool parse_error(std::size_t, const std::string&, const json::exception&) override { return false; }
 
  private:
+  bool mayHold(const std::string& text) const { return texts_ == Texts::any || isUtf8(text); }
   json& add(json&& value) {
     if (open_.empty()) return root = std::move(value);
     json& in = *open_.back();
@@ -208,6 +214,7 @@
   }
 
   static constexpr std::size_t kMaxDepth = 32;
+  const Texts texts_;
   std::vector<json*> open_;  // the unfinished values, from the root inwards
   std::string key_;
   const json* routes_ = nullptr;  // the unfinished list of routes
@@ -249,10 +256,8 @@
   return out;
 }
 
-}  // namespace
-
-std::variant<Configuration, std::string> parseConfiguration(std::string_view messagePack) {
-  StreamingReader reader;
+std::variant<Configuration, std::string> parse(std::string_view messagePack, StreamingReader::Texts texts) {
+  StreamingReader reader(texts);
   try {
     if (!json::sax_parse(messagePack.begin(), messagePack.end(), &reader, json::input_format_t::msgpack))
       return "the body cannot be read whole";
@@ -264,4 +269,14 @@
   }
 }
 
+}  // namespace
+
+std::variant<Configuration, std::string> parseConfiguration(std::string_view messagePack) {
+  return parse(messagePack, StreamingReader::Texts::utf8);
+}
+
+std::variant<Configuration, std::string> parseAcceptedConfiguration(std::string_view messagePack) {
+  return parse(messagePack, StreamingReader::Texts::any);
+}
+
 }  // namespace lilacmux
--- a/src/settings/configuration.hpp
+++ b/src/settings/configuration.hpp
@@ -69,4 +69,8 @@
 // not at all. Unknown fields are ignored.
 std::variant<Configuration, std::string> parseConfiguration(std::string_view messagePack);
 
+// The same for one that is in force. An earlier version, which checked less, may have accepted it: its texts
+// may be any bytes.
+std::variant<Configuration, std::string> parseAcceptedConfiguration(std::string_view messagePack);
+
 }  // namespace lilacmux
--- a/tests/fleet/server_list_page_test.cpp
+++ b/tests/fleet/server_list_page_test.cpp
@@ -34,5 +34,18 @@
   EXPECT_TRUE(std::holds_alternative<ServerListPageError>(parseServerListPage(pack(incomplete))));
 }
 
+// Guards against a control process that ends because the list cannot be told to gateways as JSON.
+TEST(ServerListPage, ATextThatIsNotUtf8IsRejected) {
+  for (const char* field : {"instanceId", "targetService", "address", "zone"}) {
+    json entry = {
+        {"instanceId", "i"}, {"targetService", "s"}, {"address", "a"}, {"zone", "z"}, {"state", "x"}};
+    entry[field] = "B\xfc";
+    const auto parsed = parseServerListPage(pack({{"instances", {entry}}, {"nextPageToken", nullptr}}));
+    const auto* error = std::get_if<ServerListPageError>(&parsed);
+    ASSERT_NE(error, nullptr) << field;
+    EXPECT_EQ(*error, ServerListPageError::malformedText) << field;
+  }
+}
+
 }  // namespace
 }  // namespace lilacmux::test
--- a/tests/net/frames_test.cpp
+++ b/tests/net/frames_test.cpp
@@ -18,6 +18,24 @@
 namespace lilacmux::test {
 namespace {
 
+// Guards against a process that ends because a name of an earlier version's configuration is not UTF-8.
+TEST(Frames, ATextThatIsNotUtf8IsSentWithReplacementCharacters) {
+  Frame frame;
+  frame.head = {{"t", "x"},
+                {"demands",
+                 {{"B\xfc"
+                   "cherei",
+                   1}}}};
+  std::string bytes;
+  ASSERT_NO_THROW(bytes = encode(frame));
+  Frame out;
+  EXPECT_EQ(decode(bytes, out), Decoded::frame);
+  EXPECT_TRUE(
+      out.head["demands"].contains("B\xef\xbf\xbd"
+                                   "cherei"))
+      << out.head;
+}
+
 TEST(Frames, AreTakenWholeAndRubbishIsSeen) {
   Frame frame;
   frame.head = {{"t", "x"}};
--- a/tests/settings/configuration_test.cpp
+++ b/tests/settings/configuration_test.cpp
@@ -36,6 +36,44 @@
     EXPECT_TRUE(std::holds_alternative<std::string>(parseConfiguration(whole.substr(0, size)))) << size;
 }
 
+// Guards against a gateway that ends at each request of a tenant whose name cannot be told as JSON: no text
+// of a configuration may be other than UTF-8, wherever it stands.
+TEST(Configurations, ATextThatIsNotUtf8IsRefused) {
+  const std::string latin1 =
+      "B\xfc"
+      "cherei";
+  const auto valid = [](const json& told) {
+    return std::holds_alternative<Configuration>(parseConfiguration(pack(told)));
+  };
+  const std::function<void(json&)> places[] = {
+      [&](json& c) { c["tenants"][0]["name"] = latin1; },
+      [&](json& c) { c["tenants"][0]["apiKeys"][0] = latin1; },
+      [&](json& c) { c["routeRules"][0]["name"] = latin1; },
+      [&](json& c) { c["routeRules"][0]["hostname"] = latin1; },
+      [&](json& c) { c["routeRules"][0]["pathPrefix"] = "/" + latin1 + "/"; },
+      [&](json& c) { c["backendServices"][0]["healthCheckPath"] = "/" + latin1; },
+      [&](json& c) {
+        c["backendServices"].push_back({{"name", latin1}});
+      },
+      [&](json& c) {
+        c["unknown"] = {{"deep", {latin1}}};
+      },
+      [&](json& c) {
+        c["unknown"] = {{latin1, 1}};
+      }};
+  for (const auto& put : places) {
+    json told = sampleConfiguration();
+    put(told);
+    EXPECT_FALSE(valid(told)) << told.dump(-1, ' ', false, json::error_handler_t::replace);
+    EXPECT_TRUE(std::holds_alternative<Configuration>(parseAcceptedConfiguration(pack(told))));
+  }
+  json told = sampleConfiguration();
+  told["tenants"][0]["name"] =
+      "B\xc3\xbc"
+      "cherei";
+  EXPECT_TRUE(valid(told));
+}
+
 // Fields come in any order, and what is told twice counts once.
 TEST(Configurations, AreReadInAnyOrder) {
   const json told = sampleConfiguration();
