--- a/tests/gateway/upstream_response_reader_test.cpp
+++ b/tests/gateway/upstream_response_reader_test.cpp
@@ -28,5 +28,20 @@
   EXPECT_EQ(read(404, {{"X-Server-Seal", "s"}}), AttemptResult::ok);
 }
 
+TEST(UpstreamResponseReader, OnlyOneIdAndAtMostOneSealTellWhoseAResponseIs) {
+  const UpstreamResponseReader answers;
+  const auto owner = [&](std::vector<std::pair<const char*, const char*>> fields) {
+    http::response_header<> head;
+    for (const auto& [name, value] : fields) head.insert(name, value);
+    return answers.ownership(head, "a");
+  };
+  EXPECT_EQ(owner({{"X-Attempt-Id", "a"}, {"X-Server-Seal", "s"}}), ResponseOwnership::ours);
+  EXPECT_EQ(owner({{"X-Attempt-Id", "b"}, {"X-Server-Seal", "s"}}), ResponseOwnership::anothers);
+  EXPECT_EQ(owner({{"X-Server-Seal", "s"}}), ResponseOwnership::unknown);
+  EXPECT_EQ(owner({{"X-Attempt-Id", "a"}, {"X-Attempt-Id", "a"}}), ResponseOwnership::unknown);
+  EXPECT_EQ(owner({{"X-Attempt-Id", "a"}, {"X-Server-Seal", "s"}, {"X-Server-Seal", "t"}}),
+            ResponseOwnership::unknown);
+}
+
 }  // namespace
 }  // namespace lilacmux::test
