--- a/tests/gateway/joined_responses_test.cpp
+++ b/tests/gateway/joined_responses_test.cpp
@@ -151,6 +151,17 @@
   }
 }
 
+// Known to be red: until the pause ends, the bytes are those of ABodyThatEndsLikeAHeadsBeginIsServed.
+TEST_F(JoinedResponses, ARepetitionThatPausesWithinItsFirstBytesIsFound) {
+  const Answer answer = answerOf(Framing::length, "a", 200, kBodies[2]);
+  ask(1, "a");
+  const PeerPtr peer = worker.peers.back();
+  peer->send(answer.text.substr(0, answer.text.size() - 3) + answer.text.substr(0, 3));
+  untilEnds(1);  // the server goes on after that
+  peer->send(answer.text.substr(3));
+  EXPECT_TRUE(isIntact(answer)) << ends.front().body;
+}
+
 // A whole second answer to an earlier request comes between two pieces of the next one.
 TEST_F(JoinedResponses, ALateAnswerBetweenThePiecesOfTheNextOneIsNoPartOfIt) {
   const Answer first = answerOf(Framing::length, "a", 200, kBodies[2]);
--- a/tests/gateway/upstream_responses_test.cpp
+++ b/tests/gateway/upstream_responses_test.cpp
@@ -171,6 +171,17 @@
       << "body: " << ends[0].body;
 }
 
+// Known to be red: nothing on the wire tells such bytes from the body's own.
+TEST_F(UpstreamResponses, BytesBehindAnAnswerWithoutLengthAreNoPartOfIt) {
+  ask(1, "a");
+  worker.peers[0]->send(
+      "HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\nX-Attempt-Id: a\r\n\r\nfirst, and no answer at all");
+  worker.peers[0]->end();
+  untilEnds(1);
+  EXPECT_TRUE(ends[0].outcome.result != AttemptResult::ok || ends[0].body == "first")
+      << "body: " << ends[0].body;
+}
+
 // However it is cut, over reads or by the connection's end.
 TEST_F(UpstreamResponses, ASecondAnswerCutAnywhereIsNoPartOfOneWithoutLength) {
   const std::string first = "HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\nX-Attempt-Id: a\r\n\r\nfirst";
--- a/tests/net/fetch_test.cpp
+++ b/tests/net/fetch_test.cpp
@@ -52,6 +52,17 @@
   EXPECT_EQ(bodies[1], "second");
 }
 
+// Known to be red: these answers carry nothing that tells which call they are for.
+TEST_F(FetchedTwice, ASecondAnswerBehindTheNextCallIsNotItsAnswer) {
+  call("/first");
+  server.peers[0]->send(reply("200 OK", "first"));
+  untilBodies(1);
+  call("/second");
+  server.peers[0]->send(reply("200 OK", "first") + reply("200 OK", "second"));
+  untilBodies(2);
+  EXPECT_EQ(bodies[1], "second");
+}
+
 TEST_F(FetchedTwice, AConnectionWithOneAnswerACallIsKept) {
   for (const std::string name : {"first", "second"}) {
     call("/" + name);
