Refuse two routes whose hosts are one host to a request

Cause: hosts were compared as they are written when a configuration is taken, and folded when requests are routed. Change: one reading of a host's name (settings/host_name) for both; such a configuration is invalid. One in force is read as before.

--- a/src/gateway/route_table.cpp
+++ b/src/gateway/route_table.cpp
@@ -1,22 +1,10 @@
 #include "gateway/route_table.hpp"
 
 #include <algorithm>
-#include <cctype>
 
-namespace lilacmux {
-namespace {
-
-// Host names are case-insensitive, and the port is no part of them.
-std::string normalizedHost(std::string_view host) {
-  const auto colon = host.find(':');
-  if (colon != std::string_view::npos && host.front() != '[') host = host.substr(0, colon);
-  std::string out(host);
-  std::transform(out.begin(), out.end(), out.begin(),
-                 [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-  return out;
-}
+#include "settings/host_name.hpp"
 
-}  // namespace
+namespace lilacmux {
 
 RouteTable::RouteTable(Configuration configuration) : configuration_(std::move(configuration)) {
   for (const Route& route : configuration_.routes) {
--- a/src/settings/configuration.cpp
+++ b/src/settings/configuration.cpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "net/json_text.hpp"
+#include "settings/host_name.hpp"
 
 namespace lilacmux {
 namespace {
@@ -19,6 +20,10 @@
 constexpr double kMaxCount = 1e6;  // of priorities, weights, attempts and connections
 constexpr double kMaxBytes = 1e12;
 
+// Where a configuration comes from. One that is in force may have been accepted by an earlier version, which
+// checked less.
+enum class Origin { request, inForce };
+
 // What makes a configuration invalid; does not leave this file.
 struct InvalidConfiguration : std::runtime_error {
   using std::runtime_error::runtime_error;
@@ -158,8 +163,7 @@
 // Route.
 class StreamingReader : public json::json_sax_t {
  public:
-  enum class Texts { utf8, any };
-  explicit StreamingReader(Texts texts) : texts_(texts) {}
+  explicit StreamingReader(Origin origin) : origin_(origin) {}
 
   json root;
   std::vector<Route> routes;
@@ -182,7 +186,7 @@
   bool parse_error(std::size_t, const std::string&, const json::exception&) override { return false; }
 
  private:
-  bool mayHold(const std::string& text) const { return texts_ == Texts::any || isUtf8(text); }
+  bool mayHold(const std::string& text) const { return origin_ == Origin::inForce || isUtf8(text); }
   json& add(json&& value) {
     if (open_.empty()) return root = std::move(value);
     json& in = *open_.back();
@@ -214,14 +218,24 @@
   }
 
   static constexpr std::size_t kMaxDepth = 32;
-  const Texts texts_;
+  const Origin origin_;
   std::vector<json*> open_;  // the unfinished values, from the root inwards
   std::string key_;
   const json* routes_ = nullptr;  // the unfinished list of routes
 };
 
+// Routes are selected by host and prefix.
+void requireOwnPlaces(const std::vector<Route>& routes, Origin origin) {
+  std::set<std::pair<std::string, std::string>> places;
+  for (const Route& route : routes) {
+    const std::string host = origin == Origin::request ? normalizedHost(route.host) : route.host;
+    if (!places.insert({host, route.prefix}).second)
+      fail("route " + route.name, "another route has its host and prefix");
+  }
+}
+
 // `routes` are those that were removed from `root`.
-Configuration readConfiguration(const json& root, std::vector<Route>&& routes) {
+Configuration readConfiguration(const json& root, std::vector<Route>&& routes, Origin origin) {
   if (!root.is_object()) throw InvalidConfiguration("the body is no configuration");
   Configuration out;
   const json* revision = find(root, "revision");
@@ -242,26 +256,23 @@
     service.isSharded = readFlag(entry, "sharded", "service " + service.name);
     out.services.push_back(std::move(service));
   }
-  std::set<std::pair<std::string, std::string>> hostsAndPrefixes;
   readList(root, "routeRules", "configuration");  // fails for entries that are no objects
-  for (const Route& route : routes) {
+  for (const Route& route : routes)
     for (const Target& target : route.targets)
       if (!services.contains(target.service)) fail("route " + route.name, "names an unknown service");
-    if (!hostsAndPrefixes.insert({route.host, route.prefix}).second)
-      fail("route " + route.name, "another route has its host and prefix");
-  }
+  requireOwnPlaces(routes, origin);
   out.routes = std::move(routes);
   readTenants(root, out);
   readLimits(root, out.limits);
   return out;
 }
 
-std::variant<Configuration, std::string> parse(std::string_view messagePack, StreamingReader::Texts texts) {
-  StreamingReader reader(texts);
+std::variant<Configuration, std::string> parse(std::string_view messagePack, Origin origin) {
+  StreamingReader reader(origin);
   try {
     if (!json::sax_parse(messagePack.begin(), messagePack.end(), &reader, json::input_format_t::msgpack))
       return "the body cannot be read whole";
-    return readConfiguration(reader.root, std::move(reader.routes));
+    return readConfiguration(reader.root, std::move(reader.routes), origin);
   } catch (const InvalidConfiguration& error) {
     return std::string(error.what());
   } catch (const json::exception&) {
@@ -272,11 +283,11 @@
 }  // namespace
 
 std::variant<Configuration, std::string> parseConfiguration(std::string_view messagePack) {
-  return parse(messagePack, StreamingReader::Texts::utf8);
+  return parse(messagePack, Origin::request);
 }
 
 std::variant<Configuration, std::string> parseAcceptedConfiguration(std::string_view messagePack) {
-  return parse(messagePack, StreamingReader::Texts::any);
+  return parse(messagePack, Origin::inForce);
 }
 
 }  // namespace lilacmux
--- a/src/settings/configuration.hpp
+++ b/src/settings/configuration.hpp
@@ -70,7 +70,7 @@
 std::variant<Configuration, std::string> parseConfiguration(std::string_view messagePack);
 
 // The same for one that is in force. An earlier version, which checked less, may have accepted it: its texts
-// may be any bytes.
+// may be any bytes, and of two routes whose hosts differ in letter case or port alone the first one counts.
 std::variant<Configuration, std::string> parseAcceptedConfiguration(std::string_view messagePack);
 
 }  // namespace lilacmux
--- a/tests/settings/configuration_test.cpp
+++ b/tests/settings/configuration_test.cpp
@@ -74,6 +74,20 @@
   EXPECT_TRUE(valid(told));
 }
 
+// Guards against a route whose clients get another route's service: hosts that differ in letter case or port
+// alone are one host to a request.
+TEST(Configurations, TwoRoutesOfOneHostAndPrefixAreRefusedHoweverTheHostIsWritten) {
+  for (const char* host : {"A.Example", "a.exampLe", "a.example:80", "A.EXAMPLE:8080"}) {
+    json told = sampleConfiguration();
+    told["routeRules"][1]["pathPrefix"] = told["routeRules"][0]["pathPrefix"];
+    told["routeRules"][1]["hostname"] = host;
+    EXPECT_TRUE(std::holds_alternative<std::string>(parseConfiguration(pack(told)))) << host;
+    EXPECT_TRUE(std::holds_alternative<Configuration>(parseAcceptedConfiguration(pack(told)))) << host;
+    told["routeRules"][1]["hostname"] = "b.example";
+    EXPECT_TRUE(std::holds_alternative<Configuration>(parseConfiguration(pack(told)))) << host;
+  }
+}
+
 // Fields come in any order, and what is told twice counts once.
 TEST(Configurations, AreReadInAnyOrder) {
   const json told = sampleConfiguration();
