--- a/tests/gateway/upstream_responses_test.cpp
+++ b/tests/gateway/upstream_responses_test.cpp
@@ -131,8 +131,9 @@
 
 // The end of its head was never written, so no server can know what is asked.
 TEST_F(UpstreamResponses, ARequestWhoseHeadIsHalfWrittenWhenItsConnectionBreaksHasNotRun) {
-  const std::string head = "GET / HTTP/1.1\r\nX-Attempt-Id: a\r\nX-Long: " + std::string(32'000'000, 'h');
-  byId->start(1, 0, 1, {head + "\r\n\r\n", nullptr, 0, "a"}, std::nullopt);
+  std::string head = "GET / HTTP/1.1\r\nX-Attempt-Id: a\r\nX-Long: ";
+  head.append(32'000'000, 'h').append("\r\n\r\n");
+  byId->start(1, 0, 1, {head, nullptr, 0, "a"}, std::nullopt);
   untilStuck();
   worker.peers[0]->end();
   untilEnds(1);
