--- a/tests/mutants/orders.sh
+++ b/tests/mutants/orders.sh
@@ -11,7 +11,7 @@
 mkdir "$copy/objects"
 
 sources=(src/consensus/{accepted_changes,digest}.cpp src/control/configuration_{register,service}.cpp
-  src/settings/configuration.cpp tests/control/operator_fault_injection.cpp)
+  src/net/json_text.cpp src/settings/{configuration,host_name}.cpp tests/control/operator_fault_injection.cpp)
 # The replica, into however many files it is divided: all of the directory that needs no socket or disk.
 for source in src/consensus/*.cpp; do
   case $source in */accepted_changes.cpp | */digest.cpp | */member_message_codec.cpp | */state_store.cpp) ;; *) sources+=("$source") ;; esac
