Show that a stalled download outlives its route's time

A download whose server falls silent midway ends 4.5 to 5 s after it began, with a reset, where the route's timeoutMs and the client's deadline are 1,000 ms. One of 7 servers is dark for 4.5 s, 12 times.

--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -195,7 +195,7 @@
                 if not await self.exchange(request, writer):
                     break
                 await writer.drain()
-        except OSError:
+        except (OSError, asyncio.CancelledError):
             pass
         finally:
             self.connections.discard(writer)
